--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/ebonytally/recorder.py
@@ -0,0 +1,47 @@
+"""Where decisions report what they refused, retried and noticed."""
+
+from typing import Protocol
+
+from ebonytally import events
+from ebonytally import reasons
+
+
+class Recorder(Protocol):
+    """Takes log events and counts; never fails and never blocks."""
+
+    def event(self, event: events.Event, **fields: object) -> None:
+        """Write one log event."""
+
+    def refused(self, reason: reasons.Refusal) -> None:
+        """Count one refusal."""
+
+    def retried(self, reason: reasons.Retry) -> None:
+        """Count one retry."""
+
+    def counted(self, name: str, amount: int = 1) -> None:
+        """Add to a counter of another kind, by its metric name."""
+
+
+class MemoryRecorder:
+    """Keeps everything in memory, for tests and scenarios."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.events: list[tuple[events.Event, dict[str, object]]] = []
+        self.counts: dict[str, int] = {}
+
+    def event(self, event: events.Event, **fields: object) -> None:
+        """Write one log event."""
+        self.events.append((event, fields))
+
+    def refused(self, reason: reasons.Refusal) -> None:
+        """Count one refusal."""
+        self.counted(reason.value)
+
+    def retried(self, reason: reasons.Retry) -> None:
+        """Count one retry."""
+        self.counted(reason.value)
+
+    def counted(self, name: str, amount: int = 1) -> None:
+        """Add to the counter `name`."""
+        self.counts[name] = self.counts.get(name, 0) + amount
--- /dev/null
+++ b/ebonytally/settings.py
@@ -0,0 +1,412 @@
+"""Settings of one daemon: JSON read into attrs classes and checked.
+
+All faults of a file are listed in one go, each as
+``file: key.path: what is wrong, what is allowed``.
+"""
+
+import hashlib
+import ipaddress
+import json
+import os
+import pathlib
+import re
+import typing
+
+import attrs
+import cattrs
+from cattrs import gen
+
+from ebonytally import errors
+
+MAX_SETTINGS_BYTES = 1024 * 1024
+MIN_CONTROL_VMS = 3
+MAX_CONTROL_VMS = 7
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+_HEX_KEY = re.compile(r"[0-9a-f]{64}")
+
+
+@attrs.frozen
+class Seed:
+    """An entry VM that is known from the start."""
+
+    name: str
+    address: str
+    data_centre: str
+    region: str
+    control: bool = False
+
+
+@attrs.frozen
+class Operator:
+    """Someone who may state intents.
+
+    :param token_sha256: SHA-256 of the operator's token, hex
+    """
+
+    name: str
+    token_sha256: str
+
+
+@attrs.frozen
+class Ports:
+    """Ports that the daemon listens on, the same at every entry VM."""
+
+    packets: int = 7401
+    peers: int = 7402
+    control: int = 7403
+    requests: int = 7404
+    operators: int = 7405
+    announcements: int = 7406
+    metrics: int = 7407
+
+
+@attrs.frozen
+class Flows:
+    """Numbers of the flow decision.
+
+    :param slots: slots of each service's table, a power of two
+    :param idle_s: silence after which a flow is taken as ended
+    :param linger_s: how long an ended flow is remembered
+    """
+
+    slots: int = 4096
+    idle_s: float = 900.0
+    linger_s: float = 30.0
+
+
+@attrs.frozen
+class Requests:
+    """Numbers of request handling.
+
+    :param default_timeout_s: deadline of a request that names none
+    :param max_timeout_s: longest deadline that a caller may ask for
+    :param key_window_s: age up to which a key is vouched for
+    :param max_keys: keys that one entry VM may hold
+    :param retry_share: retries allowed as a share of first tries
+    :param silent_s: no progress for this long makes a connection silent
+    :param max_connections: callers' connections at the same time
+    """
+
+    default_timeout_s: float = 10.0
+    max_timeout_s: float = 120.0
+    key_window_s: float = 600.0
+    max_keys: int = 100_000
+    retry_share: float = 0.1
+    silent_s: float = 1.0
+    max_connections: int = 2000
+
+
+@attrs.frozen
+class Upstreams:
+    """Numbers of the care of upstreams.
+
+    :param lease_s: an announcement counts for this long
+    :param cold_share: part of full load for a cold one, 1 to 1000
+    :param eject_share: part of a service that may be ejected at most
+    :param eject_s: how long an ejected upstream is left alone
+    """
+
+    lease_s: float = 3.0
+    cold_share: int = 100
+    eject_share: float = 0.34
+    eject_s: float = 5.0
+
+
+@attrs.frozen
+class Control:
+    """Numbers of agreement, spread and members.
+
+    :param heartbeat_s: from leader to voters, and down the spread tree
+    :param election_s: shortest silence before an election
+    :param lease_s: how long a configuration counts without renewal
+    :param plan_s: how long a plan may be confirmed
+    :param snapshot_entries: entries after which the log is compacted
+    :param suspect_s: silence after which a VM is suspected
+    """
+
+    heartbeat_s: float = 0.25
+    election_s: float = 0.8
+    lease_s: float = 1.5
+    plan_s: float = 600.0
+    snapshot_entries: int = 1000
+    suspect_s: float = 1.5
+
+
+@attrs.frozen
+class Settings:
+    """Everything that a daemon knows at the start.
+
+    :param data_folder: folder for durable state, relative to the file
+    :param cluster_key: 32 bytes in hex, the same at every entry VM
+    :param seeds: entry VMs known at the start, this one among them
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    region: str
+    cluster_key: str
+    data_folder: str
+    seeds: tuple[Seed, ...]
+    operators: tuple[Operator, ...] = ()
+    control: bool = False
+    ports: Ports = attrs.field(factory=Ports)
+    flows: Flows = attrs.field(factory=Flows)
+    requests: Requests = attrs.field(factory=Requests)
+    upstreams: Upstreams = attrs.field(factory=Upstreams)
+    limits: Control = attrs.field(factory=Control)
+
+    @property
+    def key(self) -> bytes:
+        """Return the cluster key as bytes."""
+        return bytes.fromhex(self.cluster_key)
+
+    def hashed(self) -> str:
+        """Return a short digest, to tell settings apart in logs."""
+        text = json.dumps(attrs.asdict(self), sort_keys=True)
+        return hashlib.sha256(text.encode()).hexdigest()[:12]
+
+
+_PLAIN_TYPES = {
+    str: "text",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+}
+
+
+def _strict(value: object, cls: type) -> object:
+    if cls is float and type(value) is int:
+        return float(value)
+    if type(value) is not cls:
+        raise TypeError(f"must be {_PLAIN_TYPES[cls]}, not {value!r}")
+    return value
+
+
+def _make_converter() -> cattrs.Converter:
+    conv = cattrs.Converter(forbid_extra_keys=True)
+    for plain in _PLAIN_TYPES:
+        conv.register_structure_hook(plain, _strict)
+    for cls in (
+        Seed,
+        Operator,
+        Ports,
+        Flows,
+        Requests,
+        Upstreams,
+        Control,
+        Settings,
+    ):
+        hook = gen.make_dict_structure_fn(
+            cls,
+            conv,
+            _cattrs_forbid_extra_keys=True,
+        )
+        conv.register_structure_hook(cls, hook)
+    return conv
+
+
+_converter = _make_converter()
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file.
+
+    :raises SettingsError: with all faults of the file
+    """
+    name = os.path.basename(path)
+    raw = _read(path, name)
+    try:
+        cfg = _converter.structure(raw, Settings)
+    except Exception as exc:
+        lines = _shape_faults(exc, "")
+        raise _fault(name, lines) from exc
+    faults = list(_faults(cfg))
+    if faults:
+        raise _fault(name, faults)
+    folder = pathlib.Path(path).resolve().parent / cfg.data_folder
+    cfg = attrs.evolve(cfg, data_folder=str(folder))
+    trouble = _folder_fault(folder)
+    if trouble:
+        raise _fault(name, [trouble])
+    return cfg
+
+
+def _read(path: str, name: str) -> object:
+    try:
+        size = os.path.getsize(path)
+        if size > MAX_SETTINGS_BYTES:
+            limit = f"at most {MAX_SETTINGS_BYTES} bytes"
+            raise _fault(name, [f"file: is {size} bytes, {limit}"])
+        with open(path, encoding="utf-8") as file:
+            return json.load(file)
+    except (OSError, UnicodeDecodeError) as exc:
+        raise _fault(name, [f"file: can't be read, {exc}"]) from exc
+    except json.JSONDecodeError as exc:
+        raise _fault(name, [f"file: is not JSON, {exc}"]) from exc
+
+
+def _fault(name: str, lines: list[str]) -> errors.SettingsError:
+    return errors.SettingsError(
+        step="check settings",
+        peer=name,
+        detail=f"{len(lines)} faults",
+        faults=tuple(f"{name}: {line}" for line in lines),
+    )
+
+
+def _join(path: str, key: str) -> str:
+    return f"{path}.{key}" if path else key
+
+
+def _shape_faults(exc: BaseException, path: str) -> list[str]:
+    """Return a line for each shape fault below `path`."""
+    if isinstance(exc, cattrs.errors.ForbiddenExtraKeysError):
+        allowed = ", ".join(sorted(attrs.fields_dict(exc.cl)))
+        return [
+            f"{_join(path, key)}: is not known, allowed are {allowed}"
+            for key in sorted(exc.extra_fields)
+        ]
+    if isinstance(exc, KeyError):
+        return [f"{_join(path, str(exc.args[0]))}: is missing"]
+    if not isinstance(exc, BaseExceptionGroup):
+        return [f"{path or 'file'}: {exc}"]
+    lines = []
+    for part in exc.exceptions:
+        lines += _shape_faults(part, path + _note_of(part, path))
+    return lines
+
+
+def _note_of(exc: BaseException, path: str) -> str:
+    for note in getattr(exc, "__notes__", ()):
+        if isinstance(note, cattrs.IterableValidationNote):
+            return f"[{note.index}]"
+        if not isinstance(note, cattrs.AttributeValidationNote):
+            continue
+        if not isinstance(exc, KeyError):
+            return f".{note.name}" if path else note.name
+    return ""
+
+
+def _faults(cfg: Settings) -> typing.Iterator[str]:
+    """Yield a line for each fault in what the settings say."""
+    yield from _name_faults(cfg)
+    yield from _seed_faults(cfg)
+    yield from _operator_faults(cfg)
+    yield from _number_faults(cfg)
+
+
+def _name_faults(cfg: Settings) -> typing.Iterator[str]:
+    for key in ("name", "data_centre", "region"):
+        value = getattr(cfg, key)
+        if not _NAME.fullmatch(value):
+            yield (
+                f"{key}: {value!r} is no name, "
+                "allowed are a-z, 0-9 and -, 63 at most"
+            )
+    if not _is_address(cfg.address):
+        yield f"address: {cfg.address!r} is no IPv4 address"
+    if not _HEX_KEY.fullmatch(cfg.cluster_key):
+        yield "cluster_key: is not 64 hex digits"
+
+
+def _seed_faults(cfg: Settings) -> typing.Iterator[str]:
+    names: dict[str, int] = {}
+    addresses: dict[str, int] = {}
+    for index, seed in enumerate(cfg.seeds):
+        where = f"seeds[{index}]"
+        for key in ("name", "data_centre", "region"):
+            value = getattr(seed, key)
+            if not _NAME.fullmatch(value):
+                yield f"{where}.{key}: {value!r} is no name"
+        if not _is_address(seed.address):
+            yield f"{where}.address: {seed.address!r} is no IPv4 address"
+        if seed.name in names:
+            first = names[seed.name]
+            yield (
+                f"{where}.name: {seed.name!r} is also seeds[{first}], "
+                "names must differ"
+            )
+        if seed.address in addresses:
+            first = addresses[seed.address]
+            yield (
+                f"{where}.address: {seed.address} is also seeds[{first}], "
+                "addresses must differ"
+            )
+        names.setdefault(seed.name, index)
+        addresses.setdefault(seed.address, index)
+    voters = sum(seed.control for seed in cfg.seeds)
+    if not MIN_CONTROL_VMS <= voters <= MAX_CONTROL_VMS:
+        yield (
+            f"seeds: {voters} control VMs, "
+            f"allowed are {MIN_CONTROL_VMS} to {MAX_CONTROL_VMS}"
+        )
+    yield from _own_seed_faults(cfg)
+
+
+def _own_seed_faults(cfg: Settings) -> typing.Iterator[str]:
+    centres = {seed.data_centre for seed in cfg.seeds}
+    if cfg.data_centre not in centres:
+        known = ", ".join(sorted(centres))
+        yield (
+            f"data_centre: {cfg.data_centre!r} has no seed, known are {known}"
+        )
+    for seed in cfg.seeds:
+        if seed.name != cfg.name:
+            continue
+        for key in ("address", "data_centre", "region", "control"):
+            mine = getattr(cfg, key)
+            theirs = getattr(seed, key)
+            if mine != theirs:
+                yield f"{key}: {mine!r} here but {theirs!r} in seeds"
+
+
+def _operator_faults(cfg: Settings) -> typing.Iterator[str]:
+    names = set()
+    for index, operator in enumerate(cfg.operators):
+        where = f"operators[{index}]"
+        if not _NAME.fullmatch(operator.name):
+            yield f"{where}.name: {operator.name!r} is no name"
+        if operator.name in names:
+            yield f"{where}.name: {operator.name!r} stands twice"
+        names.add(operator.name)
+        if not _HEX_KEY.fullmatch(operator.token_sha256):
+            yield f"{where}.token_sha256: is not 64 hex digits"
+
+
+def _number_faults(cfg: Settings) -> typing.Iterator[str]:
+    ports = attrs.asdict(cfg.ports)
+    for key, port in ports.items():
+        if not 1 <= port <= 65535:
+            yield f"ports.{key}: {port} is no port, allowed are 1 to 65535"
+    if len(set(ports.values())) < len(ports):
+        yield "ports: a port stands twice, ports must differ"
+    for group in ("flows", "requests", "upstreams", "limits"):
+        for key, value in attrs.asdict(getattr(cfg, group)).items():
+            if not value > 0:
+                yield f"{group}.{key}: {value} is not above 0"
+    slots = cfg.flows.slots
+    if slots <= 0 or slots & (slots - 1) or slots > 65536:
+        yield (
+            f"flows.slots: {slots} is no power of two, "
+            "allowed are 2, 4, 8 up to 65536"
+        )
+
+
+def _is_address(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _folder_fault(folder: pathlib.Path) -> str:
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        probe = folder / f".probe-{os.getpid()}"
+        probe.write_bytes(b"")
+        probe.unlink()
+    except OSError as exc:
+        return f"data_folder: can't be written, {exc}"
+    return ""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for callers, upstreams and the fabric."""
