Write down the design that the slices share

Cause: the slices are built side by side and need one set of faces. The size of a slot table moves from the settings to the service, since all VMs must agree on it.

--- a/ebonytally/actions.py
+++ b/ebonytally/actions.py
@@ -97,4 +97,22 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-Action = Send | Forward | ToCaller | Propose | Dispatch | Cancel | Answer
+@attrs.frozen
+class Decided:
+    """Tell a proposer how its proposal ended.
+
+    :param token: as given with the proposal
+    :param ok: it is committed and applied
+    :param result: what the state machine answered, None when refused
+    :param reason: why it was refused, "" when applied
+    """
+
+    token: str
+    ok: bool
+    result: object = None
+    reason: str = ""
+
+
+Action = (
+    Send | Forward | ToCaller | Propose | Dispatch | Cancel | Answer | Decided
+)
--- a/ebonytally/ports.py
+++ b/ebonytally/ports.py
@@ -4,8 +4,11 @@
 actions. Whoever attaches a bench writes one adapter for these.
 """
 
+import enum
 from typing import Protocol
 
+import attrs
+
 from ebonytally import actions
 from ebonytally import view
 
@@ -32,6 +35,75 @@
         """Take a newer configuration."""
 
 
+class StateMachine(Protocol):
+    """What the replicated log drives; the same at every control VM."""
+
+    def apply(self, command: object) -> object:
+        """Apply one committed command and return its result."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by what `snapshot` returned."""
+
+
+class SlotSource(Protocol):
+    """Lends request slots of upstreams to this entry VM."""
+
+    def take(
+        self,
+        service: str,
+        exclude: frozenset[int],
+        now: float,
+    ) -> view.Upstream | None:
+        """Take a free slot of the best upstream, None if none is here."""
+
+    def want(
+        self,
+        service: str,
+        count: int,
+        now: float,
+    ) -> list[actions.Action]:
+        """Say how many requests wait for a slot of the service."""
+
+    def give_back(
+        self,
+        upstream: int,
+        result: "AttemptResult",
+        now: float,
+    ) -> list[actions.Action]:
+        """Return a taken slot with how the attempt went."""
+
+
+@attrs.frozen
+class AttemptResult:
+    """How one attempt at an upstream went.
+
+    :param took_s: seconds from dispatch to the end
+    :param status: HTTP status, 0 when there was no whole answer
+    :param detail: what went wrong, for the log
+    """
+
+    kind: "AttemptKind"
+    took_s: float
+    status: int = 0
+    detail: str = ""
+
+
+class AttemptKind(enum.StrEnum):
+    """Ends of an attempt, told apart by what the upstream may have run."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    SHED = "shed"
+    LOST = "lost"
+    BROKEN = "broken"
+    SILENT = "silent"
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+
+
 class Disk(Protocol):
     """Files under the data folder; names are relative to it."""
 
--- a/ebonytally/settings.py
+++ b/ebonytally/settings.py
@@ -64,12 +64,10 @@
 class Flows:
     """Numbers of the flow decision.
 
-    :param slots: slots of each service's table, a power of two
     :param idle_s: silence after which a flow is taken as ended
     :param linger_s: how long an ended flow is remembered
     """
 
-    slots: int = 4096
     idle_s: float = 900.0
     linger_s: float = 30.0
 
@@ -385,12 +383,6 @@
         for key, value in attrs.asdict(getattr(cfg, group)).items():
             if not value > 0:
                 yield f"{group}.{key}: {value} is not above 0"
-    slots = cfg.flows.slots
-    if slots <= 0 or slots & (slots - 1) or slots > 65536:
-        yield (
-            f"flows.slots: {slots} is no power of two, "
-            "allowed are 2, 4, 8 up to 65536"
-        )
 
 
 def _is_address(text: str) -> bool:
--- a/ebonytally/view.py
+++ b/ebonytally/view.py
@@ -36,6 +36,7 @@
     :param max_connections: open flows that one upstream may have
     :param max_queue: requests that one entry VM may hold waiting
     :param max_request_bytes: largest request body
+    :param slots: slots of its table, a power of two, fixed for life
     """
 
     name: str
@@ -46,6 +47,7 @@
     max_connections: int = 2000
     max_queue: int = 64
     max_request_bytes: int = 4 * 1024 * 1024
+    slots: int = 1024
 
 
 @attrs.frozen
@@ -124,9 +126,17 @@
 
 @attrs.frozen
 class View:
-    """All replicated state at one revision."""
+    """All replicated state at one revision.
+
+    :param revision: grows by one with each applied command
+    :param config_revision: revision of the last operators' change
+    :param out: names of the data centres taken out
+    :param keeper_epoch: revision at which the keepers last changed
+    :param next_upstream_id: id that the next new upstream gets
+    """
 
     revision: int = 0
+    config_revision: int = 0
     services: tuple[Service, ...] = ()
     upstreams: tuple[Upstream, ...] = ()
     vms: tuple[Vm, ...] = ()
