--- /dev/null
+++ b/ebonytally/request_retry.py
@@ -0,0 +1,52 @@
+"""Which attempts may be made again, and how many of them."""
+
+from ebonytally import ports
+from ebonytally import reasons
+
+MAX_TOKENS = 10.0
+NEVER_RUN = frozenset(
+    {
+        ports.AttemptKind.NOT_SENT,
+        ports.AttemptKind.SHED,
+    },
+)
+_REASONS = {
+    ports.AttemptKind.NOT_SENT: reasons.Retry.REQUEST_CONNECT_FAILED,
+    ports.AttemptKind.SHED: reasons.Retry.REQUEST_NOT_RUN,
+    ports.AttemptKind.LOST: reasons.Retry.REQUEST_IDEMPOTENT_LOST,
+    ports.AttemptKind.BROKEN: reasons.Retry.REQUEST_IDEMPOTENT_LOST,
+    ports.AttemptKind.SILENT: reasons.Retry.REQUEST_SILENT_CONNECTION,
+}
+
+
+class Budget:
+    """Allows retries up to a share of the latest first tries.
+
+    :param share: retries for each first try
+    """
+
+    def __init__(self, share: float) -> None:
+        """Start without any retries to give."""
+        self._share = share
+        self._tokens = 0.0
+
+    def first_try(self) -> None:
+        """Count a first try."""
+        self._tokens = min(self._tokens + self._share, MAX_TOKENS)
+
+    def spend(self) -> bool:
+        """Take one retry out of the budget, False when it is empty."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def reason(
+    kind: ports.AttemptKind,
+    idempotent: bool,
+) -> reasons.Retry | None:
+    """Return why an attempt may be made again, None when it may not."""
+    if kind not in NEVER_RUN and not idempotent:
+        return None
+    return _REASONS.get(kind)
