Add the slot tables

Entry VMs must derive the same tables from the log, and moved slots must be few. replan, placing and pinned are pure; a proposal that comes after the slot got another base is ignored by the table's version. A gone or taken-out base stays the base until placing begins: a VM that lags still sends there, and a flow started at the new upstream would reach the old.

--- a/ebonytally/commands.py
+++ b/ebonytally/commands.py
@@ -110,17 +110,24 @@
 
     Proposed once every entry VM has applied the revision that made
     the slots kept, or its lease has ended and it is marked down.
+
+    :param seen: version of the table that the proposer saw
     """
 
     service: str
     slots: tuple[int, ...]
+    seen: int
 
 
 @wire.message(513)
 @attrs.frozen
 class SlotsPinned:
-    """Pin slots to the upstream that has all their flows."""
+    """Pin slots to the upstream that has all their flows.
+
+    :param seen: version of the table that the proposer saw
+    """
 
     service: str
     slots: tuple[int, ...]
     base: int
+    seen: int
--- a/ebonytally/view.py
+++ b/ebonytally/view.py
@@ -103,12 +103,14 @@
     :param base: upstream id of flows that no keeper recorded
     :param next: upstream id for new flows, 0 for none yet
     :param placing: keepers may place flows away from the base
+    :param since: version of the table that gave the slot this base
     """
 
     slot: int
     base: int
     next: int
     placing: bool
+    since: int = 0
 
 
 @attrs.frozen
@@ -117,11 +119,13 @@
 
     :param bases: upstream id of each slot, 0 for none
     :param kept: slots that keepers decide about, by slot number
+    :param version: grows by one with each change of the table
     """
 
     service: str
     bases: tuple[int, ...]
     kept: tuple[SlotState, ...] = ()
+    version: int = 0
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_flow_table.py
@@ -0,0 +1,111 @@
+"""Slot tables: quotas, few moves, and late proposals."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+
+from ebonytally import flow_table
+from ebonytally import view
+
+SLOTS = 64
+SERVICE = view.Service("s", "10.9.0.1", 80, 6, ("a", "b"), slots=SLOTS)
+
+
+def _upstream(id_, share=1000, state=view.UpstreamState.UP, dc="a"):
+    return view.Upstream(
+        id_, "s", "10.0.0.1", 7000 + id_, 0, dc, 2, 2000, 1, state, share
+    )
+
+
+def _targets(table):
+    targets = list(table.bases)
+    for state in table.kept:
+        targets[state.slot] = state.next
+    return targets
+
+
+def _many(count):
+    return tuple(_upstream(id_) for id_ in range(1, count + 1))
+
+
+_fleets = strategies.dictionaries(
+    strategies.integers(1, 9),
+    strategies.sampled_from([0, 50, 100, 500, 1000]),
+)
+
+
+@hypothesis.given(strategies.lists(_fleets, min_size=1, max_size=5))
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_replan_keeps_quota_and_moves_least(fleets):
+    table = None
+    for fleet in fleets:
+        ups = [_upstream(id_, share) for id_, share in fleet.items()]
+        before = _targets(table) if table else [0] * SLOTS
+        table = flow_table.replan(table, SERVICE, ups, ())
+        after = _targets(table)
+        total = sum(fleet.values())
+        held = collections.Counter(after)
+        if not total:
+            assert held == {0: SLOTS}
+            continue
+        old = collections.Counter(before)
+        needed = 0
+        for id_, share in fleet.items():
+            quota = SLOTS * share / total
+            assert abs(held[id_] - quota) < 1
+            needed += max(0, held[id_] - old[id_])
+        moved = sum(b != a for b, a in zip(before, after, strict=True))
+        assert moved == needed
+        assert flow_table.replan(table, SERVICE, ups, ()) is table
+
+
+def test_gone_base_stays_until_placing():
+    table = flow_table.replan(None, SERVICE, _many(2), ())
+    moved = flow_table.replan(table, SERVICE, _many(1), ())
+    assert moved.bases == table.bases
+    assert {state.base for state in moved.kept} == {2}
+    assert not any(state.placing for state in moved.kept)
+
+
+def test_out_data_centre_gets_no_target():
+    ups = (_upstream(1), _upstream(2, dc="b"))
+    table = flow_table.replan(None, SERVICE, ups, ())
+    table = flow_table.replan(table, SERVICE, ups, ("b",))
+    assert set(_targets(table)) == {1}
+
+
+def test_late_placing_is_ignored():
+    table = flow_table.replan(None, SERVICE, _many(2), ())
+    first = flow_table.replan(table, SERVICE, _many(1), ())
+    home = flow_table.replan(first, SERVICE, _many(2), ())
+    assert home.kept == ()
+    again = flow_table.replan(home, SERVICE, _many(1), ())
+    slots = [state.slot for state in again.kept]
+    assert flow_table.placing(again, slots, first.version) is again
+    begun = flow_table.placing(again, slots, again.version)
+    assert all(state.placing for state in begun.kept)
+
+
+def test_pinned_with_another_target_keeps_the_slot():
+    table = flow_table.replan(None, SERVICE, _many(2), ())
+    table = flow_table.replan(table, SERVICE, _many(1), ())
+    slots = [state.slot for state in table.kept]
+    table = flow_table.placing(table, slots, table.version)
+    seen = table.version
+    table = flow_table.replan(table, SERVICE, _many(2), ())
+    pinned = flow_table.pinned(table, slots, 1, seen)
+    assert all(state.base == 1 for state in pinned.kept)
+    assert all(state.next == 2 for state in pinned.kept)
+    assert flow_table.pinned(pinned, slots, 2, seen) is pinned
+
+
+def test_pinned_slots_leave_the_kept_ones():
+    table = flow_table.replan(None, SERVICE, _many(2), ())
+    table = flow_table.replan(table, SERVICE, _many(1), ())
+    slots = [state.slot for state in table.kept]
+    assert flow_table.pinned(table, slots, 1, table.version) is table
+    table = flow_table.placing(table, slots, table.version)
+    table = flow_table.pinned(table, slots, 1, table.version)
+    assert table.kept == ()
+    assert set(table.bases) == {1}
