--- a/ebonytally/ports.py
+++ b/ebonytally/ports.py
@@ -56,8 +56,13 @@
         service: str,
         exclude: frozenset[int],
         now: float,
+        deadline: float | None = None,
     ) -> view.Upstream | None:
-        """Take a free slot of the best upstream, None if none is here."""
+        """Take a free slot of the best upstream, None if none is here.
+
+        :param deadline: when the attempt ends at the latest; without
+            it the slot counts as used for the longest timeout
+        """
 
     def want(
         self,
