Keep waiting retries from holding up a queue

Cause: a retry whose other upstreams were busy stopped the requests behind it, and one with no upstream left waited until its deadline. Change: the queue passes over waiting retries; no retry without an upstream that wasn't tried.

--- a/ebonytally/request_queue.py
+++ b/ebonytally/request_queue.py
@@ -60,13 +60,9 @@
         else:
             self._heads.append(head)
 
-    def front(self) -> request_head.RequestHead | None:
-        """Return the request that is next, None when none waits."""
-        return self._heads[0] if self._heads else None
-
-    def pop(self) -> request_head.RequestHead:
-        """Take the request that is next."""
-        return self._heads.popleft()
+    def waiting(self) -> list[request_head.RequestHead]:
+        """Return the waiting requests, the next one first."""
+        return list(self._heads)
 
     def remove(self, req: int) -> None:
         """Take out a request, wherever it waits."""
--- a/ebonytally/requests.py
+++ b/ebonytally/requests.py
@@ -68,6 +68,7 @@
         self._recorder = recorder
         self._view = views.View()
         self._services: dict[str, views.Service] = {}
+        self._upstreams: dict[str, frozenset[int]] = {}
         self._live: dict[int, _Live] = {}
         self._attempts: dict[int, _Attempt] = {}
         self._next_attempt = 1
@@ -148,12 +149,13 @@
                 head.req,
                 reasons.Refusal.REQUEST_DEADLINE,
             )
-        while head := queue.front():
+        for head in queue.waiting():
             started = self._start(head, now)
-            if started is None:
+            if started is not None:
+                queue.remove(head.req)
+                acts.append(started)
+            elif not self._live[head.req].tried:
                 break
-            queue.pop()
-            acts.append(started)
         return acts + self._slots.want(service, len(queue), now)
 
     def stop(self, now: float) -> list[actions.Action]:
@@ -186,6 +188,14 @@
         """Take a newer configuration."""
         self._view = new
         self._services = {item.name: item for item in new.services}
+        self._upstreams = {
+            name: frozenset(
+                upstream.id
+                for upstream in new.upstreams
+                if upstream.service == name
+            )
+            for name in self._services
+        }
         return []
 
     def reach(
@@ -303,6 +313,9 @@
         return self._unknown(live.head.req, refusal)
 
     def _may_retry(self, live: _Live, now: float) -> bool:
+        known = self._upstreams.get(live.head.service, frozenset())
+        if known <= live.tried:
+            return False
         mean_s = self._queue(live.head.service).times.mean_s
         if now + mean_s > live.head.deadline:
             return False
