Order slot changes by revision, add packets and messages of flows

A proposal was guarded by a version of its table, which the leader can't compare with the revisions that entry VMs report. Slots now carry the revision that gave them their base; placing begins when every entry VM applied it, so a stream of other changes doesn't hold it up.

--- a/ebonytally/commands.py
+++ b/ebonytally/commands.py
@@ -111,7 +111,7 @@
     Proposed once every entry VM has applied the revision that made
     the slots kept, or its lease has ended and it is marked down.
 
-    :param seen: version of the table that the proposer saw
+    :param seen: revision of the view that the proposer saw
     """
 
     service: str
@@ -124,7 +124,7 @@
 class SlotsPinned:
     """Pin slots to the upstream that has all their flows.
 
-    :param seen: version of the table that the proposer saw
+    :param seen: revision of the view that the proposer saw
     """
 
     service: str
--- /dev/null
+++ b/ebonytally/flow_messages.py
@@ -0,0 +1,169 @@
+"""Messages between entry VMs about flows and packets in hand."""
+
+import struct
+
+import attrs
+
+from ebonytally import wire
+
+HASH_AND_UPSTREAM = struct.Struct("!QI")
+
+_HEAD = struct.Struct("!BBIQ")
+
+# Bits of PacketHop flags.
+PLACED = 1
+RECORD = 2
+BEGINS = 4
+
+
+@wire.message(200)
+@attrs.define
+class PacketHop:
+    """A caller's packet on its way between entry VMs.
+
+    The head is packed, as there is one for each packet: see `hop` and
+    `unpack`.
+
+    :param packet: raw IPv4
+    """
+
+    head: bytes
+    packet: bytes
+
+
+@attrs.define
+class Hop:
+    """The head of a PacketHop.
+
+    :param hops: how many entry VMs sent it on so far
+    :param flags: PLACED when the upstream is decided, RECORD when the
+        receiver records it, BEGINS when the flow begins with it
+    :param upstream: upstream id, 0 when it is not decided
+    :param epoch: keeper epoch of the sender's view
+    """
+
+    hops: int
+    flags: int
+    upstream: int
+    epoch: int
+
+
+def hop(head: Hop, packet: bytes) -> PacketHop:
+    """Return a packet with its head."""
+    packed = _HEAD.pack(head.hops, head.flags, head.upstream, head.epoch)
+    return PacketHop(packed, packet)
+
+
+def unpack(msg: PacketHop) -> Hop | None:
+    """Return the head of a packet, None when it is damaged."""
+    if len(msg.head) != _HEAD.size:
+        return None
+    return Hop(*_HEAD.unpack(msg.head))
+
+
+@wire.message(201)
+@attrs.frozen
+class FlowRefused:
+    """A keeper doesn't know this flow: go on asking it.
+
+    :param confirmation: what the entry VM remembered of the flow
+    """
+
+    flow: int
+    upstream: int
+
+
+@wire.message(202)
+@attrs.frozen
+class KeeperAsk:
+    """Ask whether a peer knows of an epoch, and for its records.
+
+    :param groups: bitmap of the slot groups whose records are wanted
+    """
+
+    epoch: int
+    groups: bytes
+
+
+@attrs.frozen
+class ServiceRecords:
+    """Flows of one service.
+
+    :param records: HASH_AND_UPSTREAM of each flow, open ones only
+    """
+
+    service: str
+    records: bytes
+
+
+@attrs.frozen
+class Promise:
+    """An agreement of both keepers on where unrecorded flows go.
+
+    :param since: `view.SlotState.since` that it holds for
+    """
+
+    service: str
+    slot: int
+    since: int
+    base: int
+
+
+@attrs.frozen
+class GroupRecords:
+    """All that one VM knows of one slot group.
+
+    :param held: last keeper epoch in which it was a keeper of the group
+    :param complete: it knows every live flow of the group
+    """
+
+    group: int
+    held: int
+    complete: bool
+    services: tuple[ServiceRecords, ...] = ()
+    promises: tuple[Promise, ...] = ()
+
+
+@wire.message(203)
+@attrs.frozen
+class KeeperReport:
+    """Answer to a KeeperAsk, from a peer that is in the same epoch.
+
+    :param groups: some of the wanted groups, those asked for but not
+        here are asked for again
+    """
+
+    epoch: int
+    groups: tuple[GroupRecords, ...]
+
+
+@wire.message(204)
+@attrs.frozen
+class PinAsk:
+    """Ask the other keeper to agree that all flows are at one upstream.
+
+    :param slots: pairs of slot and `view.SlotState.since`, flattened
+    :param seen: version of the table
+    """
+
+    epoch: int
+    service: str
+    slots: tuple[int, ...]
+    base: int
+    seen: int
+
+
+@wire.message(205)
+@attrs.frozen
+class PinAgreed:
+    """The other keeper agrees for these slots, shaped as in PinAsk.
+
+    :param complete: slots for which it knows every live flow
+    """
+
+    epoch: int
+    service: str
+    slots: tuple[int, ...]
+    complete: tuple[int, ...]
+    base: int
+    seen: int
--- /dev/null
+++ b/ebonytally/flow_packet.py
@@ -0,0 +1,160 @@
+"""IPv4 packets of callers: cheap parsing, and answers in our name.
+
+The fast path reads fixed offsets; dpkt builds what goes back to callers.
+"""
+
+import ipaddress
+import struct
+
+import attrs
+import dpkt
+import xxhash
+
+from ebonytally import reasons
+
+TCP = 6
+UDP = 17
+START = 1
+END = 2
+HASH_BITS = 60
+ANSWER_TTL = 64
+
+_MIN_HEADER_BYTES = 20
+_PORT_BYTES = 4
+_UDP_HEADER_BYTES = 8
+_TCP_HEADER_BYTES = 20
+_TCP_FLAGS_OFFSET = 13
+_FRAGMENT_MASK = 0x3FFF
+_HEADER = struct.Struct("!BxHxxHBB")
+_KEY = struct.Struct("!IH")
+_ICMP_QUOTED_BYTES = 8
+_hash = xxhash.xxh3_64_intdigest
+
+# What START and END mean for each value of the low three TCP flag bits
+# (FIN 1, SYN 2, RST 4) and bit 4 (ACK).
+_MARKS = tuple(
+    END if flags & 0x05 else (START if flags & 0x12 == 0x02 else 0)
+    for flags in range(256)
+)
+
+
+@attrs.define
+class Parsed:
+    """What the flow decision needs to know of a packet.
+
+    :param service: destination address, port and protocol, see `key`
+    :param flow: hash of addresses, ports and protocol, 60 bits
+    :param marks: START for a SYN, END for FIN or RST, both TCP only
+    :param protocol: TCP or UDP
+    """
+
+    service: int
+    flow: int
+    marks: int
+    protocol: int
+
+
+def key(address: str, port: int, protocol: int) -> int:
+    """Return the number that stands for a service's address."""
+    packed = int(ipaddress.IPv4Address(address))
+    return (packed << 16 | port) << 8 | protocol
+
+
+def parse(data: bytes) -> Parsed | reasons.Refusal:
+    """Return what matters of an IPv4 packet, or why it is refused."""
+    size = len(data)
+    if size < _MIN_HEADER_BYTES:
+        return reasons.Refusal.PACKET_TRUNCATED
+    first, total, fragment, ttl, protocol = _HEADER.unpack_from(data)
+    if first != 0x45 and (first >> 4 != 4 or first < 0x45):
+        return reasons.Refusal.PACKET_MALFORMED
+    if total != size:
+        if total > size:
+            return reasons.Refusal.PACKET_TRUNCATED
+        return reasons.Refusal.PACKET_MALFORMED
+    if fragment & _FRAGMENT_MASK:
+        return reasons.Refusal.PACKET_FRAGMENT
+    if not ttl:
+        return reasons.Refusal.PACKET_TTL
+    at = (first & 0x0F) * 4
+    if protocol == TCP:
+        if size < at + _TCP_HEADER_BYTES:
+            return reasons.Refusal.PACKET_TRUNCATED
+        marks = _MARKS[data[at + _TCP_FLAGS_OFFSET]]
+    elif protocol == UDP:
+        if size < at + _UDP_HEADER_BYTES:
+            return reasons.Refusal.PACKET_TRUNCATED
+        marks = 0
+    else:
+        return reasons.Refusal.PACKET_PROTOCOL
+    if at == _MIN_HEADER_BYTES:
+        ends = data[12:24]
+    else:
+        ends = data[12:20] + data[at : at + _PORT_BYTES]
+    address, port = _KEY.unpack_from(ends, 4)[0], ends[10] << 8 | ends[11]
+    flow = _hash(ends + data[9:10]) >> 4
+    service = (address << 16 | port) << 8 | protocol
+    return Parsed(service, flow, marks, protocol)
+
+
+def source(data: bytes) -> str:
+    """Return the source address of a packet that `parse` took."""
+    return str(ipaddress.IPv4Address(data[12:16]))
+
+
+def refusal(data: bytes) -> bytes | None:
+    """Return the packet that tells the caller that its flow has ended.
+
+    :param data: a packet that `parse` took
+    :returns: a TCP reset or ICMP port unreachable, None where the
+        protocol asks for silence (a reset isn't answered)
+    """
+    try:
+        packet = dpkt.ip.IP(data)
+    except dpkt.UnpackError:
+        return None
+    if isinstance(packet.data, dpkt.tcp.TCP):
+        return _reset(packet)
+    if isinstance(packet.data, dpkt.udp.UDP):
+        return _unreachable(packet, data)
+    return None
+
+
+def _reset(packet: dpkt.ip.IP) -> bytes | None:
+    segment = packet.data
+    if segment.flags & dpkt.tcp.TH_RST:
+        return None
+    answer = dpkt.tcp.TCP(sport=segment.dport, dport=segment.sport)
+    answer.flags = dpkt.tcp.TH_RST
+    if segment.flags & dpkt.tcp.TH_ACK:
+        answer.seq = segment.ack
+    else:
+        length = len(segment.data)
+        length += bool(segment.flags & dpkt.tcp.TH_SYN)
+        length += bool(segment.flags & dpkt.tcp.TH_FIN)
+        answer.flags |= dpkt.tcp.TH_ACK
+        answer.ack = (segment.seq + length) & 0xFFFFFFFF
+    answer.win = 0
+    return _from_service(packet, TCP, answer)
+
+
+def _unreachable(packet: dpkt.ip.IP, data: bytes) -> bytes:
+    quoted = data[: packet.hl * 4 + _ICMP_QUOTED_BYTES]
+    body = dpkt.icmp.ICMP(
+        type=dpkt.icmp.ICMP_UNREACH,
+        code=dpkt.icmp.ICMP_UNREACH_PORT,
+        data=dpkt.icmp.ICMP.Unreach(data=quoted),
+    )
+    return _from_service(packet, dpkt.ip.IP_PROTO_ICMP, body)
+
+
+def _from_service(packet: dpkt.ip.IP, protocol: int, body) -> bytes:
+    answer = dpkt.ip.IP(
+        src=packet.dst,
+        dst=packet.src,
+        p=protocol,
+        ttl=ANSWER_TTL,
+        data=body,
+    )
+    answer.len = len(answer)
+    return bytes(answer)
--- a/ebonytally/flow_table.py
+++ b/ebonytally/flow_table.py
@@ -19,6 +19,7 @@
     service: view.Service,
     upstreams: Iterable[view.Upstream],
     out: Iterable[str],
+    revision: int,
 ) -> view.Table:
     """Return the table with slots divided by capacity and warm share.
 
@@ -30,6 +31,7 @@
     :param table: the present table, None for a new service
     :param upstreams: those of other services are ignored
     :param out: names of the data centres taken out
+    :param revision: revision of the view that gets the table
     :returns: `table` itself when nothing changes
     """
     if table is None:
@@ -37,18 +39,20 @@
     weights = _weights(service, upstreams, frozenset(out))
     kept = {state.slot: state for state in table.kept}
     targets = _targets(table, kept, weights)
-    return _with_targets(table, kept, targets)
+    return _with_targets(table, kept, targets, revision)
 
 
 def placing(
     table: view.Table,
     slots: Iterable[int],
     seen: int,
+    revision: int,
 ) -> view.Table:
     """Return the table with placing begun in these kept slots.
 
-    :param seen: version that the proposer saw; slots that became kept
+    :param seen: revision that the proposer saw; slots that became kept
         after it are left alone
+    :param revision: revision of the view that gets the table
     """
     named = frozenset(slots)
 
@@ -58,7 +62,7 @@
         return attrs.evolve(state, placing=True)
 
     kept = tuple(begun(state) for state in table.kept)
-    return _changed(table, table.bases, kept)
+    return _changed(table, table.bases, kept, revision)
 
 
 def pinned(
@@ -66,14 +70,16 @@
     slots: Iterable[int],
     base: int,
     seen: int,
+    revision: int,
 ) -> view.Table:
     """Return the table with the unrecorded flows of these slots at `base`.
 
     A slot whose new flows go there too is pinned to it; one that has
     another target meanwhile stays kept with the new base.
 
-    :param seen: version that the proposer saw; slots that got their
+    :param seen: revision that the proposer saw; slots that got their
         base after it are left alone
+    :param revision: revision of the view that gets the table
     """
     named = frozenset(slots)
     bases = list(table.bases)
@@ -86,11 +92,11 @@
         bases[state.slot] = base
         if state.next == base:
             continue
-        since = table.version + 1
+        since = revision
         if state.base == base:
             since = state.since
         kept.append(attrs.evolve(state, base=base, since=since))
-    return _changed(table, tuple(bases), tuple(kept))
+    return _changed(table, tuple(bases), tuple(kept), revision)
 
 
 def _weights(
@@ -216,8 +222,8 @@
     table: view.Table,
     kept: dict[int, view.SlotState],
     targets: list[int],
+    revision: int,
 ) -> view.Table:
-    since = table.version + 1
     bases = list(table.bases)
     states = []
     for slot, target in enumerate(targets):
@@ -229,19 +235,20 @@
             if base == 0:
                 bases[slot] = target
                 continue
-            state = view.SlotState(slot, base, target, False, since)
+            state = view.SlotState(slot, base, target, False, revision)
         elif state.next != target:
             if target == base and not state.placing:
                 continue
             state = attrs.evolve(state, next=target)
         states.append(state)
-    return _changed(table, tuple(bases), tuple(states))
+    return _changed(table, tuple(bases), tuple(states), revision)
 
 
 def _changed(
     table: view.Table,
     bases: tuple[int, ...],
     kept: tuple[view.SlotState, ...],
+    revision: int,
 ) -> view.Table:
     if bases == table.bases and kept == table.kept:
         return table
@@ -249,5 +256,5 @@
         table,
         bases=bases,
         kept=kept,
-        version=table.version + 1,
+        revision=revision,
     )
--- a/ebonytally/reasons.py
+++ b/ebonytally/reasons.py
@@ -9,14 +9,18 @@
     # Packets.
     PACKET_MALFORMED = "packet_malformed"
     PACKET_TRUNCATED = "packet_truncated"
+    PACKET_FRAGMENT = "packet_fragment"
+    PACKET_PROTOCOL = "packet_protocol"
     PACKET_LOOP = "packet_loop"
     PACKET_TTL = "packet_ttl"
     PACKET_UNKNOWN_ADDRESS = "packet_unknown_address"
     FLOW_NO_UPSTREAM = "flow_no_upstream"
     FLOW_LIMIT = "flow_limit"
+    FLOW_NOT_YET_PLACED = "flow_not_yet_placed"
     FLOW_DATA_CENTRE_OUT = "flow_data_centre_out"
     FLOW_UPSTREAM_GONE = "flow_upstream_gone"
     FLOW_KEEPER_UNREACHABLE = "flow_keeper_unreachable"
+    FLOW_UNKNOWN = "flow_unknown"
     FLOW_UPSTREAM_UNREACHABLE = "flow_upstream_unreachable"
     # Frames between entry VMs.
     FRAME_MALFORMED = "frame_malformed"
--- a/ebonytally/view.py
+++ b/ebonytally/view.py
@@ -103,7 +103,7 @@
     :param base: upstream id of flows that no keeper recorded
     :param next: upstream id for new flows, 0 for none yet
     :param placing: keepers may place flows away from the base
-    :param since: version of the table that gave the slot this base
+    :param since: revision that gave the kept slot this base
     """
 
     slot: int
@@ -119,13 +119,13 @@
 
     :param bases: upstream id of each slot, 0 for none
     :param kept: slots that keepers decide about, by slot number
-    :param version: grows by one with each change of the table
+    :param revision: revision at which the table last changed
     """
 
     service: str
     bases: tuple[int, ...]
     kept: tuple[SlotState, ...] = ()
-    version: int = 0
+    revision: int = 0
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_flow_placing.py
@@ -0,0 +1,33 @@
+"""When the leader lets keepers place flows away from a base."""
+
+import attrs
+
+from ebonytally import commands
+from ebonytally import flow_placing
+from ebonytally import view
+
+
+def _vm(name, state=view.VmState.UP):
+    return view.Vm(name, "10.0.0.1", "a", "r", True, state)
+
+
+def _state(*vms):
+    kept = (view.SlotState(0, 1, 2, False, 5), view.SlotState(1, 1, 2, True))
+    table = view.Table("s", (1, 1), kept, 5)
+    return view.View(revision=7, vms=vms, tables=(table,))
+
+
+def test_waits_for_every_vm():
+    state = _state(_vm("a"), _vm("b"))
+    assert flow_placing.ready(state, {"a": 7, "b": 4}, frozenset()) == []
+    assert flow_placing.ready(state, {"a": 7}, frozenset()) == []
+    found = flow_placing.ready(state, {"a": 7, "b": 5}, frozenset())
+    assert found == [commands.SlotsPlacing("s", (0,), 5)]
+
+
+def test_down_vm_counts_until_its_lease_has_ended():
+    state = _state(_vm("a"), _vm("b", view.VmState.DOWN))
+    assert flow_placing.ready(state, {"a": 7}, frozenset()) == []
+    assert flow_placing.ready(state, {"a": 7}, frozenset({"b"}))
+    state = attrs.evolve(state, vms=(_vm("a"), _vm("b")))
+    assert flow_placing.ready(state, {"a": 7}, frozenset({"b"})) == []
--- a/tests/test_flow_table.py
+++ b/tests/test_flow_table.py
@@ -39,10 +39,10 @@
 @hypothesis.settings(derandomize=True, deadline=None)
 def test_replan_keeps_quota_and_moves_least(fleets):
     table = None
-    for fleet in fleets:
+    for revision, fleet in enumerate(fleets):
         ups = [_upstream(id_, share) for id_, share in fleet.items()]
         before = _targets(table) if table else [0] * SLOTS
-        table = flow_table.replan(table, SERVICE, ups, ())
+        table = flow_table.replan(table, SERVICE, ups, (), revision)
         after = _targets(table)
         total = sum(fleet.values())
         held = collections.Counter(after)
@@ -57,12 +57,13 @@
             needed += max(0, held[id_] - old[id_])
         moved = sum(b != a for b, a in zip(before, after, strict=True))
         assert moved == needed
-        assert flow_table.replan(table, SERVICE, ups, ()) is table
+        again = flow_table.replan(table, SERVICE, ups, (), revision + 1)
+        assert again is table
 
 
 def test_gone_base_stays_until_placing():
-    table = flow_table.replan(None, SERVICE, _many(2), ())
-    moved = flow_table.replan(table, SERVICE, _many(1), ())
+    table = flow_table.replan(None, SERVICE, _many(2), (), 1)
+    moved = flow_table.replan(table, SERVICE, _many(1), (), 2)
     assert moved.bases == table.bases
     assert {state.base for state in moved.kept} == {2}
     assert not any(state.placing for state in moved.kept)
@@ -70,42 +71,41 @@
 
 def test_out_data_centre_gets_no_target():
     ups = (_upstream(1), _upstream(2, dc="b"))
-    table = flow_table.replan(None, SERVICE, ups, ())
-    table = flow_table.replan(table, SERVICE, ups, ("b",))
+    table = flow_table.replan(None, SERVICE, ups, (), 1)
+    table = flow_table.replan(table, SERVICE, ups, ("b",), 2)
     assert set(_targets(table)) == {1}
 
 
 def test_late_placing_is_ignored():
-    table = flow_table.replan(None, SERVICE, _many(2), ())
-    first = flow_table.replan(table, SERVICE, _many(1), ())
-    home = flow_table.replan(first, SERVICE, _many(2), ())
+    table = flow_table.replan(None, SERVICE, _many(2), (), 1)
+    first = flow_table.replan(table, SERVICE, _many(1), (), 2)
+    home = flow_table.replan(first, SERVICE, _many(2), (), 3)
     assert home.kept == ()
-    again = flow_table.replan(home, SERVICE, _many(1), ())
+    again = flow_table.replan(home, SERVICE, _many(1), (), 4)
     slots = [state.slot for state in again.kept]
-    assert flow_table.placing(again, slots, first.version) is again
-    begun = flow_table.placing(again, slots, again.version)
+    assert flow_table.placing(again, slots, 3, 5) is again
+    begun = flow_table.placing(again, slots, 4, 5)
     assert all(state.placing for state in begun.kept)
 
 
 def test_pinned_with_another_target_keeps_the_slot():
-    table = flow_table.replan(None, SERVICE, _many(2), ())
-    table = flow_table.replan(table, SERVICE, _many(1), ())
+    table = flow_table.replan(None, SERVICE, _many(2), (), 1)
+    table = flow_table.replan(table, SERVICE, _many(1), (), 2)
     slots = [state.slot for state in table.kept]
-    table = flow_table.placing(table, slots, table.version)
-    seen = table.version
-    table = flow_table.replan(table, SERVICE, _many(2), ())
-    pinned = flow_table.pinned(table, slots, 1, seen)
+    table = flow_table.placing(table, slots, 2, 3)
+    table = flow_table.replan(table, SERVICE, _many(2), (), 4)
+    pinned = flow_table.pinned(table, slots, 1, 3, 5)
     assert all(state.base == 1 for state in pinned.kept)
     assert all(state.next == 2 for state in pinned.kept)
-    assert flow_table.pinned(pinned, slots, 2, seen) is pinned
+    assert flow_table.pinned(pinned, slots, 2, 3, 6) is pinned
 
 
 def test_pinned_slots_leave_the_kept_ones():
-    table = flow_table.replan(None, SERVICE, _many(2), ())
-    table = flow_table.replan(table, SERVICE, _many(1), ())
+    table = flow_table.replan(None, SERVICE, _many(2), (), 1)
+    table = flow_table.replan(table, SERVICE, _many(1), (), 2)
     slots = [state.slot for state in table.kept]
-    assert flow_table.pinned(table, slots, 1, table.version) is table
-    table = flow_table.placing(table, slots, table.version)
-    table = flow_table.pinned(table, slots, 1, table.version)
+    assert flow_table.pinned(table, slots, 1, 2, 3) is table
+    table = flow_table.placing(table, slots, 2, 3)
+    table = flow_table.pinned(table, slots, 1, 3, 4)
     assert table.kept == ()
     assert set(table.bases) == {1}
