--- /dev/null
+++ b/ebonytally/agreement.py
@@ -0,0 +1,293 @@
+"""Agreement between the control VMs on one order of commands.
+
+A replicated log with elections, kept on disk before anything is
+promised. All methods take the present time in seconds, do no network
+I/O and return actions; the disk is written before they return. One
+task owns an Agreement: calls must not overlap, also when the disk
+lets other tasks run meanwhile.
+"""
+
+import random
+
+from ebonytally import actions
+from ebonytally import agreement_apply
+from ebonytally import agreement_election
+from ebonytally import agreement_messages as messages
+from ebonytally import agreement_proposals
+from ebonytally import agreement_replication
+from ebonytally import agreement_snapshot
+from ebonytally import agreement_state
+from ebonytally import agreement_voters
+from ebonytally import errors
+from ebonytally import events
+from ebonytally import log_storage
+from ebonytally import ports
+from ebonytally import reasons
+from ebonytally import recorder as recorder_lib
+from ebonytally import settings
+
+STORAGE_RETRY_S = 1.0
+
+
+class Agreement:
+    """One control VM's part in the replicated log."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        me: str,
+        voters: tuple[str, ...],
+        disk: ports.Disk,
+        machine: ports.StateMachine,
+        recorder: recorder_lib.Recorder,
+        seed: int,
+    ) -> None:
+        """Open the data folder and bring the machine up to date.
+
+        :param voters: names that form the first voter list, the same
+            at all of them; later lists are in the log
+        :param seed: for timeouts and the id of a new data folder; it
+            must differ at each start
+        :raises DamagedLogError: when the data folder needs a repair
+        :raises StorageError: when the disk refuses
+        """
+        rng = random.Random(seed)
+        storage = log_storage.LogStorage(disk, recorder, rng)
+        self._recorder = recorder
+        self._state = agreement_state.State(
+            cfg=cfg.limits,
+            me=me,
+            genesis=tuple(sorted(voters)),
+            storage=storage,
+            machine=machine,
+            recorder=recorder,
+            rng=rng,
+        )
+        self._state.load_voters()
+        self._applier = agreement_apply.Applier(self._state)
+        self._election = agreement_election.Election(self._state)
+        self._replication = agreement_replication.Replication(self._state)
+        self._sender = agreement_snapshot.Sender(
+            self._state,
+            self._replication,
+        )
+        self._receiver = agreement_snapshot.Receiver(self._state)
+        self._proposals = agreement_proposals.Proposals(
+            self._state,
+            self._applier,
+        )
+        self._changes = agreement_voters.VoterChanges(
+            self._state,
+            self._replication,
+        )
+        self._disk_retry_at = 0.0
+
+    @property
+    def leader(self) -> str:
+        """Return the name of the known leader, "" for none."""
+        return self._state.leader
+
+    @property
+    def term(self) -> int:
+        """Return the present term."""
+        return self._state.term
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this VM leads."""
+        return self._state.is_leader
+
+    @property
+    def commit_index(self) -> int:
+        """Return the highest index known to be committed."""
+        return self._state.commit
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index up to which the machine was driven."""
+        return self._state.applied
+
+    @property
+    def voters(self) -> tuple[messages.Voter, ...]:
+        """Return the voter list with learners, () before the first."""
+        voters = self._state.voters
+        return voters.voters if voters else ()
+
+    @property
+    def superseded(self) -> bool:
+        """Return whether the voters were formed anew without this VM."""
+        return self._state.storage.vote.superseded
+
+    def may_read(self, now: float) -> bool:
+        """Return whether the machine's state is the newest there is."""
+        return self._replication.may_read(now)
+
+    def want_voters(self, names: tuple[str, ...]) -> None:
+        """Set the control VMs that there should be; the leader acts.
+
+        :param names: control VMs; () leaves the list as it is
+        """
+        self._changes.want(names)
+
+    def transfer(self, now: float) -> list[actions.Action]:
+        """Before a planned stop, hand leadership to another voter."""
+        if self._state.is_leader:
+            self._replication.transfer(now)
+        return self._take()
+
+    def propose(
+        self,
+        token: str,
+        command: object,
+        now: float,
+    ) -> list[actions.Action]:
+        """Have a command put into the log.
+
+        :param token: unique for the proposal; a retry uses it again
+            and is applied once
+        :returns: actions; the end comes as `actions.Decided`, now or
+            later
+        """
+        self._guard(lambda: self._propose(token, command, now), now)
+        return self._take()
+
+    def handle(
+        self,
+        peer: str,
+        msg: object,
+        now: float,
+    ) -> list[actions.Action]:
+        """Take a message from another entry VM."""
+        self._guard(lambda: self._handle(peer, msg, now), now)
+        return self._take()
+
+    def tick(self, now: float) -> list[actions.Action]:
+        """Do what is due; called every 50 ms or so."""
+        self._guard(lambda: self._tick(now), now)
+        return self._take()
+
+    def _take(self) -> list[actions.Action]:
+        out = self._state.out
+        self._state.out = []
+        return out
+
+    def _guard(self, step, now: float) -> None:
+        """Run a step; when the disk refuses, promise nothing."""
+        try:
+            step()
+            failed = self._state.storage_refused
+        except errors.DamagedLogError:
+            raise
+        except errors.StorageError as exc:
+            failed = exc
+        self._state.storage_refused = None
+        if failed is not None:
+            self._disk_failed(failed, now)
+
+    def _disk_failed(self, exc: errors.StorageError, now: float) -> None:
+        self._disk_retry_at = now + STORAGE_RETRY_S
+        self._state.refuse(reasons.Refusal.STORAGE_FULL)
+        self._recorder.event(events.Event.STORAGE_FAILED, error=str(exc))
+        if self._state.role != agreement_state.Role.FOLLOWER:
+            self._state.follow(self._state.term, "")
+        self._election.restart_timer(self._disk_retry_at)
+
+    def _propose(self, token: str, command: object, now: float) -> None:
+        self._proposals.propose(token, command, now)
+        self._advance(now)
+
+    def _tick(self, now: float) -> None:
+        if self._election.tick(now):
+            self._lead(now)
+        if self._state.is_leader:
+            self._changes.tick(now)
+            self._sender.tick(now)
+            self._replication.tick(now)
+        self._advance(now)
+        self._proposals.tick(now)
+        if now < self._disk_retry_at:
+            return
+        self._state.storage.note(self._state.commit)
+        if self._applier.snapshot_due():
+            self._applier.save_snapshot()
+
+    def _lead(self, now: float) -> None:
+        self._changes.lead(now)
+        self._replication.lead(self._election.granted, now)
+
+    def _advance(self, now: float) -> None:
+        """Send, commit and apply what the call made possible."""
+        if self._state.is_leader:
+            self._replication.flush(now)
+        self._proposals.settled(self._applier.apply())
+
+    def _handle(self, peer: str, msg: object, now: float) -> None:
+        identity = getattr(msg, "identity", "")
+        if identity:
+            self._state.saw_identity(peer, identity, now)
+        if not self._same_generation(peer, msg):
+            return
+        if self._dispatch(peer, msg, now):
+            self._lead(now)
+        if self._state.leader_heard_at == now:
+            self._election.restart_timer(now)
+        self._advance(now)
+
+    def _same_generation(self, peer: str, msg: object) -> bool:
+        """Return whether both belong to the same voter list's history.
+
+        A VM of an older generation may hold accepted changes that the
+        newer one lacks. It takes no part until an operator repairs it.
+        """
+        theirs = getattr(msg, "generation", None)
+        mine = self._state.generation
+        if theirs is None or theirs == mine or 0 in (theirs, mine):
+            return not self.superseded
+        self._state.refuse(reasons.Refusal.GENERATION_OLD)
+        if theirs > mine:
+            self._supersede(theirs)
+        else:
+            self._election.tell_generation(peer)
+        return False
+
+    def _supersede(self, generation: int) -> None:
+        if self.superseded:
+            return
+        self._state.follow(self._state.term, "")
+        self._state.storage.supersede()
+        self._recorder.event(events.Event.SUPERSEDED, generation=generation)
+
+    def _dispatch(self, peer: str, msg: object, now: float) -> bool:
+        """Hand a message on; return whether this VM won an election."""
+        match msg:
+            case messages.AppendRequest():
+                self._replication.request(peer, msg, now)
+            case messages.AppendReply() if self._state.is_leader:
+                self._replication.reply(peer, msg, now)
+            case messages.VoteRequest():
+                self._election.request(peer, msg, now)
+            case messages.VoteReply():
+                return self._election.reply(peer, msg, now)
+            case messages.TimeoutNow():
+                if msg.term == self._state.term:
+                    return self._election.stand_now(now)
+            case messages.SnapshotChunk():
+                self._take_chunk(peer, msg, now)
+            case messages.SnapshotReply() if self._state.is_leader:
+                self._sender.reply(peer, msg, now)
+            case messages.ProposeRequest():
+                self._proposals.request(peer, msg)
+            case messages.ProposeReply():
+                self._proposals.reply(peer, msg, now)
+        return False
+
+    def _take_chunk(
+        self,
+        peer: str,
+        msg: messages.SnapshotChunk,
+        now: float,
+    ) -> None:
+        snapshot = self._receiver.chunk(peer, msg, now)
+        if snapshot is not None:
+            self._applier.restore(snapshot)
+            self._proposals.restored()
--- /dev/null
+++ b/ebonytally/agreement_proposals.py
@@ -0,0 +1,226 @@
+"""Proposals: to the log at the leader, forwarded to it elsewhere."""
+
+import attrs
+
+from ebonytally import actions
+from ebonytally import agreement_apply
+from ebonytally import agreement_messages as messages
+from ebonytally import agreement_results
+from ebonytally import agreement_state
+from ebonytally import errors
+from ebonytally import reasons
+from ebonytally import wire
+
+DEADLINE_S = 5.0
+RETRY_S = 0.5
+MAX_PENDING = 1024
+
+
+@attrs.define
+class _Pending:
+    """A proposal of this VM that isn't settled.
+
+    :param deadline: seconds, when its outcome is given up
+    :param retry_at: seconds, when it is tried again
+    :param open_tries: tries that may have reached a log
+    """
+
+    command: bytes
+    deadline: float
+    retry_at: float
+    attempt: int = 0
+    open_tries: set[int] = attrs.field(factory=set)
+
+
+class Proposals:
+    """What waits for its place in the log, here and for peers."""
+
+    def __init__(
+        self,
+        state: agreement_state.State,
+        applier: agreement_apply.Applier,
+    ) -> None:
+        """Start without any."""
+        self._state = state
+        self._applier = applier
+        self._pending: dict[str, _Pending] = {}
+        self._asked: dict[str, dict[str, int]] = {}
+
+    def propose(self, token: str, command: object, now: float) -> None:
+        """Begin a proposal of this VM."""
+        if not token:
+            raise ValueError("a proposal needs a token")
+        if token in self._pending:
+            return
+        if len(self._pending) >= MAX_PENDING:
+            self._refuse(token, reasons.Refusal.PROPOSAL_QUEUE_FULL)
+            return
+        if not self._state.leader:
+            self._refuse(token, reasons.Refusal.NO_LEADER)
+            return
+        packed = wire.pack_message(command)
+        pending = _Pending(packed, now + DEADLINE_S, now)
+        self._pending[token] = pending
+        self._try(token, pending, now)
+
+    def tick(self, now: float) -> None:
+        """Try again what is due, give up what is too old."""
+        if not self._state.is_leader:
+            self._asked.clear()
+        for token, pending in list(self._pending.items()):
+            if now >= pending.deadline:
+                self._give_up(token, pending)
+            elif now >= pending.retry_at:
+                retry = reasons.Retry.PROPOSAL_UNANSWERED
+                self._state.recorder.retried(retry)
+                self._try(token, pending, now)
+
+    def request(
+        self,
+        peer: str,
+        msg: messages.ProposeRequest,
+    ) -> None:
+        """Take a proposal that a peer forwards."""
+        answer = self._applier.answer(msg.token)
+        if answer is not None:
+            self._reply(peer, msg.token, msg.attempt, True, answer)
+            return
+        if not self._state.is_leader:
+            self._reply_refused(peer, msg, reasons.Refusal.NOT_LEADER)
+            return
+        if len(self._asked) >= MAX_PENDING:
+            full = reasons.Refusal.PROPOSAL_QUEUE_FULL
+            self._reply_refused(peer, msg, full)
+            return
+        refusal = self._append(msg.token, msg.command)
+        if refusal is None:
+            asked = self._asked.setdefault(msg.token, {})
+            asked[peer] = msg.attempt
+        elif refusal != reasons.Refusal.PROPOSAL_OUTCOME_UNKNOWN:
+            self._reply_refused(peer, msg, refusal)
+
+    def reply(
+        self,
+        peer: str,
+        msg: messages.ProposeReply,
+        now: float,
+    ) -> None:
+        """Take a peer's answer to a forwarded proposal."""
+        pending = self._pending.get(msg.token)
+        if pending is None:
+            return
+        if msg.ok:
+            self._decide(msg.token, msg.result)
+            return
+        pending.open_tries.discard(msg.attempt)
+        if msg.reason == reasons.Refusal.NOT_LEADER:
+            return
+        if not pending.open_tries:
+            del self._pending[msg.token]
+            self._refuse(msg.token, reasons.Refusal(msg.reason))
+
+    def settled(self, tokens: list[str]) -> None:
+        """Answer proposals whose entries were applied."""
+        for token in tokens:
+            answer = self._applier.answer(token)
+            if answer is None:
+                continue
+            self._decide(token, answer)
+            for peer, attempt in self._asked.pop(token, {}).items():
+                self._reply(peer, token, attempt, True, answer)
+
+    def restored(self) -> None:
+        """Answer proposals that an installed snapshot has settled."""
+        self.settled(list(self._pending))
+
+    def _try(self, token: str, pending: _Pending, now: float) -> None:
+        state = self._state
+        answer = self._applier.answer(token)
+        if answer is not None:
+            self._decide(token, answer)
+            return
+        pending.retry_at = now + RETRY_S
+        if not state.leader:
+            return
+        pending.attempt += 1
+        if state.is_leader:
+            self._try_here(token, pending)
+            return
+        pending.open_tries.add(pending.attempt)
+        request = messages.ProposeRequest(
+            token,
+            pending.command,
+            pending.attempt,
+        )
+        state.send(state.leader, request)
+
+    def _try_here(self, token: str, pending: _Pending) -> None:
+        refusal = self._append(token, pending.command)
+        unknown = reasons.Refusal.PROPOSAL_OUTCOME_UNKNOWN
+        if refusal is None or refusal == unknown:
+            pending.open_tries.add(pending.attempt)
+        elif not pending.open_tries:
+            del self._pending[token]
+            self._refuse(token, refusal)
+
+    def _append(self, token: str, command: bytes) -> reasons.Refusal | None:
+        """Put a proposal into the log; return why that can't be."""
+        state = self._state
+        for index in range(state.applied + 1, state.storage.last_index + 1):
+            if state.storage.entry(index).token == token:
+                return None
+        try:
+            state.append_own(token, command)
+        except errors.StorageError as exc:
+            state.storage_refused = exc
+            if state.storage.clean:
+                return reasons.Refusal.STORAGE_FULL
+            return reasons.Refusal.PROPOSAL_OUTCOME_UNKNOWN
+        return None
+
+    def _give_up(self, token: str, pending: _Pending) -> None:
+        del self._pending[token]
+        if pending.open_tries:
+            unknown = reasons.Refusal.PROPOSAL_OUTCOME_UNKNOWN
+            self._refuse(token, unknown)
+        else:
+            self._refuse(token, reasons.Refusal.NO_LEADER)
+
+    def _decide(self, token: str, answer: bytes) -> None:
+        if self._pending.pop(token, None) is None:
+            return
+        result = agreement_results.unpack(answer)
+        self._state.out.append(actions.Decided(token, True, result))
+
+    def _refuse(self, token: str, reason: reasons.Refusal) -> None:
+        self._state.refuse(reason)
+        refused = actions.Decided(token, False, None, reason.value)
+        self._state.out.append(refused)
+
+    def _reply(
+        self,
+        peer: str,
+        token: str,
+        attempt: int,
+        ok: bool,
+        result: bytes,
+        reason: str = "",
+    ) -> None:
+        reply = messages.ProposeReply(
+            token,
+            ok,
+            result,
+            reason,
+            self._state.leader,
+            attempt,
+        )
+        self._state.send(peer, reply)
+
+    def _reply_refused(
+        self,
+        peer: str,
+        msg: messages.ProposeRequest,
+        reason: reasons.Refusal,
+    ) -> None:
+        self._state.refuse(reason)
+        self._reply(peer, msg.token, msg.attempt, False, b"", reason.value)
--- /dev/null
+++ b/ebonytally/agreement_replication.py
@@ -0,0 +1,353 @@
+"""Replication: appends to followers, commit, the leader's lease."""
+
+import attrs
+
+from ebonytally import agreement_messages as messages
+from ebonytally import agreement_state
+from ebonytally import reasons
+from ebonytally import wire
+
+MAX_BATCH_ENTRIES = 256
+MAX_BATCH_BYTES = 32 * 1024
+MAX_IN_FLIGHT = 4
+# Share of the election timeout that a lease runs, for clocks that
+# don't run equally fast.
+LEASE_SHARE = 0.9
+CHECK_QUORUM_TIMEOUTS = 2.0
+
+
+@attrs.define
+class Progress:
+    """How far one peer is.
+
+    :param identity: data folder that `match` is about
+    :param next: next index to send
+    :param match: highest index known to be on the peer's disk
+    :param in_flight: appends with entries that are not answered
+    :param sent_at: seconds, when something was last sent
+    :param acked_at: seconds, when the last answered message was sent
+    :param budget: bytes that may be sent now
+    :param filled_at: seconds, when the budget last grew
+    :param snapshot: index of the snapshot being sent, 0 for none
+    :param offset: bytes of the snapshot that have come
+    :param chunk_at: seconds, when a chunk was last sent
+    :param chunk_waits: a chunk waits for the budget
+    """
+
+    identity: str
+    next: int
+    sent_at: float
+    acked_at: float
+    budget: float
+    filled_at: float
+    match: int = 0
+    in_flight: int = 0
+    snapshot: int = 0
+    offset: int = 0
+    chunk_at: float = 0.0
+    chunk_waits: bool = False
+
+
+class Replication:
+    """The log's way from the leader to its peers."""
+
+    def __init__(self, state: agreement_state.State) -> None:
+        """Start as a follower."""
+        self._state = state
+        self.progress: dict[str, Progress] = {}
+        self._first_own = 0
+
+    def lead(
+        self,
+        granted: dict[str, str],
+        now: float,
+    ) -> None:
+        """Begin a term as its leader.
+
+        :param granted: voters with their ids, for the first voter list
+        :raises StorageError: when the first entry can't be written
+        """
+        state = self._state
+        self.progress.clear()
+        if state.voters is None:
+            voters = tuple(
+                messages.Voter(name, granted[name], True)
+                for name in sorted(state.genesis)
+            )
+            command = messages.VotersSet(1, voters)
+            state.append_own("", wire.pack_message(command))
+        command = messages.LeaderStarted(state.me)
+        started = wire.pack_message(command)
+        self._first_own = state.append_own("", started)
+        self.follow_voters(now)
+        self.flush(now)
+
+    def follow_voters(self, now: float) -> None:
+        """Keep a progress for each other VM of the voter list."""
+        state = self._state
+        for name in list(self.progress):
+            known = state.identity_of(name)
+            if known != self.progress[name].identity:
+                del self.progress[name]
+        for name in state.peers:
+            if name in self.progress:
+                continue
+            self.progress[name] = Progress(
+                identity=state.identity_of(name),
+                next=state.storage.last_index + 1,
+                sent_at=now - state.cfg.heartbeat_s,
+                acked_at=now,
+                budget=state.cfg.catch_up_bytes_s,
+                filled_at=now,
+            )
+
+    def tick(self, now: float) -> None:
+        """Send what is due; step down without a quorum."""
+        state = self._state
+        wait = CHECK_QUORUM_TIMEOUTS * state.cfg.election_s
+        if now - self._quorum_acked_at(now) > wait:
+            state.follow(state.term, "")
+            return
+        self.flush(now)
+
+    def flush(self, now: float) -> None:
+        """Send entries, and heartbeats where they are due."""
+        self.advance_commit()
+        for peer, progress in self.progress.items():
+            self._fill(progress, now)
+            if not progress.snapshot:
+                self._send_entries(peer, progress, now)
+            if now - progress.sent_at >= self._state.cfg.heartbeat_s:
+                self._send(peer, progress, (), now)
+
+    def needs_snapshot(self, progress: Progress) -> bool:
+        """Return whether the log no longer reaches back far enough."""
+        return self._state.storage.term_at(progress.next - 1) is None
+
+    def may_read(self, now: float) -> bool:
+        """Return whether no other leader can have committed anything."""
+        state = self._state
+        if not state.is_leader:
+            return False
+        if state.commit < self._first_own:
+            return False
+        lease = LEASE_SHARE * state.cfg.election_s
+        return now < self._quorum_acked_at(now) + lease
+
+    @property
+    def settled(self) -> bool:
+        """Return whether an entry of the leader's own term committed."""
+        return self._state.commit >= self._first_own
+
+    def transfer(self, now: float) -> bool:
+        """Hand leadership to the voter that is furthest along."""
+        state = self._state
+        voting = [peer for peer in self.progress if peer in state.voting]
+        if not voting:
+            return False
+        peer = max(voting, key=lambda name: self.progress[name].match)
+        if self.progress[peer].match < state.storage.last_index:
+            return False
+        msg = messages.TimeoutNow(state.generation, state.term)
+        state.send(peer, msg)
+        # The lease ends here: the next leader needn't wait for it.
+        state.follow(state.term, "")
+        return True
+
+    def request(
+        self,
+        peer: str,
+        msg: messages.AppendRequest,
+        now: float,
+    ) -> None:
+        """Take entries as a follower."""
+        state = self._state
+        if msg.term < state.term:
+            self._reply(peer, msg, False, state.storage.last_index)
+            return
+        if msg.term > state.term or state.leader != peer:
+            state.follow(msg.term, peer)
+        state.leader_heard_at = now
+        agrees = state.storage.term_at(msg.prev_index) == msg.prev_term
+        # Committed entries agree at all leaders, compacted ones as well.
+        if not agrees and msg.prev_index > state.commit:
+            self._reply(peer, msg, False, self._hint(msg))
+            return
+        self._take(msg.entries)
+        match = msg.prev_index + len(msg.entries)
+        state.storage.commit = max(state.commit, min(msg.commit, match))
+        self._reply(peer, msg, True, match)
+
+    def reply(
+        self,
+        peer: str,
+        msg: messages.AppendReply,
+        now: float,
+    ) -> None:
+        """Take a follower's answer as the leader."""
+        state = self._state
+        if msg.term > state.term:
+            state.follow(msg.term, "")
+            return
+        progress = self.progress.get(peer)
+        if progress is None or msg.identity != progress.identity:
+            return
+        progress.acked_at = max(progress.acked_at, msg.sent_at)
+        if msg.ok:
+            self._matched(progress, msg.match)
+        elif not progress.snapshot and msg.term == state.term:
+            self._rejected(progress, msg)
+        if self.needs_snapshot(progress):
+            return
+        self._send_entries(peer, progress, now)
+
+    def _matched(self, progress: Progress, match: int) -> None:
+        progress.match = max(progress.match, match)
+        progress.next = max(progress.next, progress.match + 1)
+        progress.in_flight = max(0, progress.in_flight - 1)
+        if progress.match == progress.next - 1:
+            progress.in_flight = 0
+        self.advance_commit()
+
+    def _rejected(
+        self,
+        progress: Progress,
+        msg: messages.AppendReply,
+    ) -> None:
+        self._state.recorder.retried(reasons.Retry.APPEND_REJECTED)
+        progress.in_flight = 0
+        last = self._state.storage.last_index
+        progress.next = max(progress.match, min(msg.match, last)) + 1
+
+    def advance_commit(self) -> None:
+        """Commit what a quorum has on disk, of the own term only."""
+        state = self._state
+        voting = state.voting
+        matches = [self._match_of(name) for name in voting]
+        if not matches:
+            return
+        matches.sort(reverse=True)
+        index = matches[len(matches) // 2]
+        if index <= state.commit:
+            return
+        if state.storage.term_at(index) == state.term:
+            state.storage.commit = index
+
+    def _match_of(self, name: str) -> int:
+        if name == self._state.me:
+            return self._state.storage.last_index
+        progress = self.progress.get(name)
+        return progress.match if progress else 0
+
+    def _quorum_acked_at(self, now: float) -> float:
+        """Return the time since when a quorum is known to follow."""
+        acked = []
+        for name in self._state.voting:
+            if name == self._state.me:
+                acked.append(now)
+                continue
+            progress = self.progress.get(name)
+            acked.append(progress.acked_at if progress else 0.0)
+        acked.sort(reverse=True)
+        if not acked:
+            return now
+        return acked[len(acked) // 2]
+
+    def _fill(self, progress: Progress, now: float) -> None:
+        rate = self._state.cfg.catch_up_bytes_s
+        grown = progress.budget + rate * (now - progress.filled_at)
+        progress.budget = min(float(rate), grown)
+        progress.filled_at = now
+
+    def _send_entries(
+        self,
+        peer: str,
+        progress: Progress,
+        now: float,
+    ) -> None:
+        state = self._state
+        while not self.needs_snapshot(progress):
+            if progress.next > state.storage.last_index:
+                return
+            if progress.in_flight >= MAX_IN_FLIGHT or progress.budget <= 0:
+                return
+            entries = state.storage.entries(
+                progress.next,
+                MAX_BATCH_ENTRIES,
+                MAX_BATCH_BYTES,
+            )
+            self._send(peer, progress, entries, now)
+            progress.next += len(entries)
+            progress.in_flight += 1
+            progress.budget -= sum(len(e.command) + 16 for e in entries)
+
+    def _send(
+        self,
+        peer: str,
+        progress: Progress,
+        entries: tuple[messages.Entry, ...],
+        now: float,
+    ) -> None:
+        state = self._state
+        prev = progress.next - 1
+        prev_term = state.storage.term_at(prev)
+        if prev_term is None:
+            prev = state.storage.first_index - 1
+            prev_term = state.storage.term_at(prev)
+        if prev_term is None:
+            prev = state.storage.snapshot.index
+            prev_term = state.storage.snapshot.term
+        request = messages.AppendRequest(
+            state.generation,
+            state.term,
+            prev,
+            prev_term,
+            entries,
+            state.commit,
+            now,
+        )
+        state.send(peer, request)
+        progress.sent_at = now
+
+    def _hint(self, msg: messages.AppendRequest) -> int:
+        """Return the index from which the leader should go on."""
+        storage = self._state.storage
+        if msg.prev_index > storage.last_index:
+            return storage.last_index
+        index = msg.prev_index
+        term = storage.term_at(index)
+        while index > self._state.commit and storage.term_at(index) == term:
+            index -= 1
+        return index
+
+    def _take(self, entries: tuple[messages.Entry, ...]) -> None:
+        state = self._state
+        fresh = []
+        for entry in entries:
+            known = state.storage.term_at(entry.index)
+            if known == entry.term:
+                continue
+            if known is None and entry.index <= state.commit:
+                continue
+            if known is not None and not fresh:
+                state.truncate(entry.index)
+            fresh.append(entry)
+        state.append(tuple(fresh))
+
+    def _reply(
+        self,
+        peer: str,
+        msg: messages.AppendRequest,
+        ok: bool,
+        match: int,
+    ) -> None:
+        state = self._state
+        reply = messages.AppendReply(
+            state.generation,
+            state.term,
+            ok,
+            match,
+            msg.sent_at,
+            state.identity,
+        )
+        state.send(peer, reply)
--- /dev/null
+++ b/ebonytally/agreement_snapshot.py
@@ -0,0 +1,225 @@
+"""Snapshots: taking them, and sending them in bounded chunks."""
+
+import zlib
+
+import attrs
+
+from ebonytally import agreement_messages as messages
+from ebonytally import agreement_replication
+from ebonytally import agreement_state
+from ebonytally import errors
+from ebonytally import events
+from ebonytally import reasons
+from ebonytally import wire
+
+CHUNK_BYTES = 32 * 1024
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
+RESEND_HEARTBEATS = 2.0
+
+
+@attrs.define
+class _Incoming:
+    """A snapshot that is arriving."""
+
+    peer: str
+    term: int
+    index: int
+    total: int
+    crc: int
+    data: bytearray
+
+
+class Sender:
+    """Sends the leader's snapshot to peers that are too far behind."""
+
+    def __init__(
+        self,
+        state: agreement_state.State,
+        replication: agreement_replication.Replication,
+    ) -> None:
+        """Start with nothing to send."""
+        self._state = state
+        self._replication = replication
+        self._index = 0
+        self._data = b""
+
+    def tick(self, now: float) -> None:
+        """Begin transfers and send chunks that are due again."""
+        wait = RESEND_HEARTBEATS * self._state.cfg.heartbeat_s
+        for peer, progress in self._replication.progress.items():
+            if not self._replication.needs_snapshot(progress):
+                progress.snapshot = 0
+                continue
+            if not progress.snapshot:
+                self._begin(progress)
+                self._send(peer, progress, now)
+            elif now - progress.chunk_at >= wait:
+                self._state.recorder.retried(reasons.Retry.SNAPSHOT_CHUNK_LOST)
+                self._send(peer, progress, now)
+            elif progress.chunk_waits:
+                self._send(peer, progress, now)
+
+    def reply(
+        self,
+        peer: str,
+        msg: messages.SnapshotReply,
+        now: float,
+    ) -> None:
+        """Go on after an answered chunk."""
+        if msg.term > self._state.term:
+            self._state.follow(msg.term, "")
+            return
+        progress = self._replication.progress.get(peer)
+        if progress is None or msg.identity != progress.identity:
+            return
+        progress.acked_at = max(progress.acked_at, msg.sent_at)
+        if msg.done:
+            progress.match = max(progress.match, msg.index)
+            progress.next = max(progress.next, progress.match + 1)
+            if msg.index >= progress.snapshot:
+                progress.snapshot = 0
+            return
+        if msg.index != progress.snapshot:
+            return
+        if self._index != msg.index:
+            self._begin(progress)
+        if msg.received > progress.offset or msg.received == 0:
+            progress.offset = msg.received
+            self._send(peer, progress, now)
+
+    def _begin(self, progress: agreement_replication.Progress) -> None:
+        snapshot = self._state.storage.snapshot
+        if self._index != snapshot.index:
+            self._index = snapshot.index
+            self._data = zlib.compress(wire.pack(snapshot))
+        progress.snapshot = self._index
+        progress.offset = 0
+        progress.in_flight = 0
+
+    def _send(
+        self,
+        peer: str,
+        progress: agreement_replication.Progress,
+        now: float,
+    ) -> None:
+        if progress.snapshot != self._index:
+            self._begin(progress)
+        progress.chunk_waits = progress.budget <= 0
+        if progress.chunk_waits:
+            return
+        state = self._state
+        part = self._data[progress.offset : progress.offset + CHUNK_BYTES]
+        chunk = messages.SnapshotChunk(
+            state.generation,
+            state.term,
+            self._index,
+            progress.offset,
+            len(self._data),
+            zlib.crc32(self._data),
+            part,
+            now,
+        )
+        state.send(peer, chunk)
+        progress.budget -= len(part)
+        progress.sent_at = now
+        progress.chunk_at = now
+
+
+class Receiver:
+    """Takes a leader's snapshot, chunk by chunk."""
+
+    def __init__(self, state: agreement_state.State) -> None:
+        """Start with nothing received."""
+        self._state = state
+        self._incoming: _Incoming | None = None
+
+    def chunk(
+        self,
+        peer: str,
+        msg: messages.SnapshotChunk,
+        now: float,
+    ) -> messages.Snapshot | None:
+        """Take a chunk; return the snapshot once it is installed.
+
+        :raises StorageError: when it can't be made durable
+        """
+        state = self._state
+        if msg.term < state.term or not 0 < msg.total <= MAX_SNAPSHOT_BYTES:
+            state.refuse(reasons.Refusal.SNAPSHOT_REFUSED)
+            self._reply(peer, msg, 0, False)
+            return None
+        if msg.term > state.term or state.leader != peer:
+            state.follow(msg.term, peer)
+        state.leader_heard_at = now
+        if msg.index <= state.commit:
+            self._reply(peer, msg, msg.total, True)
+            return None
+        incoming = self._collect(peer, msg)
+        if len(incoming.data) < msg.total:
+            self._reply(peer, msg, len(incoming.data), False)
+            return None
+        self._incoming = None
+        snapshot = self._open(incoming)
+        if snapshot is None:
+            state.refuse(reasons.Refusal.SNAPSHOT_REFUSED)
+            self._reply(peer, msg, 0, False)
+            return None
+        state.storage.install_snapshot(snapshot)
+        state.load_voters()
+        state.recorder.event(
+            events.Event.SNAPSHOT_INSTALLED,
+            index=snapshot.index,
+        )
+        self._reply(peer, msg, msg.total, True)
+        return snapshot
+
+    def _collect(
+        self,
+        peer: str,
+        msg: messages.SnapshotChunk,
+    ) -> _Incoming:
+        fresh = _Incoming(
+            peer,
+            msg.term,
+            msg.index,
+            msg.total,
+            msg.crc,
+            bytearray(),
+        )
+        known = self._incoming
+        if known is None or attrs.evolve(known, data=fresh.data) != fresh:
+            known = fresh
+        if msg.offset == len(known.data):
+            known.data += msg.data
+        self._incoming = known
+        return known
+
+    def _open(self, incoming: _Incoming) -> messages.Snapshot | None:
+        data = bytes(incoming.data)
+        if len(data) != incoming.total or zlib.crc32(data) != incoming.crc:
+            return None
+        try:
+            unzip = zlib.decompressobj()
+            plain = unzip.decompress(data, MAX_SNAPSHOT_BYTES)
+            return wire.unpack(plain, messages.Snapshot)
+        except (errors.WireError, zlib.error):
+            return None
+
+    def _reply(
+        self,
+        peer: str,
+        msg: messages.SnapshotChunk,
+        received: int,
+        done: bool,
+    ) -> None:
+        state = self._state
+        reply = messages.SnapshotReply(
+            state.generation,
+            state.term,
+            msg.index,
+            received,
+            done,
+            msg.sent_at,
+            state.identity,
+        )
+        state.send(peer, reply)
--- /dev/null
+++ b/ebonytally/agreement_state.py
@@ -0,0 +1,220 @@
+"""What the parts of the agreement share at one control VM."""
+
+import enum
+import random
+
+import attrs
+
+from ebonytally import actions
+from ebonytally import agreement_messages as messages
+from ebonytally import errors
+from ebonytally import events
+from ebonytally import log_storage
+from ebonytally import ports
+from ebonytally import reasons
+from ebonytally import recorder as recorder_lib
+from ebonytally import settings
+from ebonytally import wire
+
+_VOTERS_KIND = wire.kind_of(messages.VotersSet(0, ()))
+
+
+class Role(enum.StrEnum):
+    """What a control VM is in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.define
+class State:
+    """Role, log and voter list of one control VM.
+
+    :param genesis: names that form the first voter list
+    :param voter_sets: voter lists in the log, with their indexes
+    :param leader_heard_at: seconds, when a leader was last heard
+    :param identities: data folder ids by VM, with when they were heard
+    :param out: actions of the present call
+    :param storage_refused: a failure of the disk to be dealt with
+    """
+
+    cfg: settings.Control
+    me: str
+    genesis: tuple[str, ...]
+    storage: log_storage.LogStorage
+    machine: ports.StateMachine
+    recorder: recorder_lib.Recorder
+    rng: random.Random
+    role: Role = Role.FOLLOWER
+    leader: str = ""
+    leader_heard_at: float = 0.0
+    applied: int = 0
+    voter_sets: list[tuple[int, messages.VotersSet]] = attrs.field(
+        factory=list,
+    )
+    identities: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    out: list[actions.Action] = attrs.field(factory=list)
+    storage_refused: errors.StorageError | None = None
+
+    @property
+    def term(self) -> int:
+        """Return the present term."""
+        return self.storage.vote.term
+
+    @property
+    def identity(self) -> str:
+        """Return the id of this VM's data folder."""
+        return self.storage.vote.identity
+
+    @property
+    def commit(self) -> int:
+        """Return the highest index known to be committed."""
+        return self.storage.commit
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this VM leads its term."""
+        return self.role == Role.LEADER
+
+    @property
+    def voters(self) -> messages.VotersSet | None:
+        """Return the voter list in use, None before the first."""
+        return self.voter_sets[-1][1] if self.voter_sets else None
+
+    @property
+    def voters_index(self) -> int:
+        """Return the index of the voter list in use, 0 for none."""
+        return self.voter_sets[-1][0] if self.voter_sets else 0
+
+    @property
+    def generation(self) -> int:
+        """Return the generation of the voter list, 0 before the first."""
+        return self.voters.generation if self.voters else 0
+
+    @property
+    def voting(self) -> dict[str, str]:
+        """Return the ids of those who vote, by name."""
+        if self.voters is None:
+            return {}
+        return {
+            voter.name: voter.identity
+            for voter in self.voters.voters
+            if voter.voting
+        }
+
+    @property
+    def peers(self) -> list[str]:
+        """Return all others that get the log or may give a vote."""
+        if self.voters is None:
+            names = self.genesis
+        else:
+            names = tuple(voter.name for voter in self.voters.voters)
+        return [name for name in names if name != self.me]
+
+    def voters_at(self, index: int) -> messages.VotersSet | None:
+        """Return the voter list in use at an index."""
+        known = None
+        for start, voters in self.voter_sets:
+            if start <= index:
+                known = voters
+        return known
+
+    def identity_of(self, name: str) -> str:
+        """Return the id that the voter list has for a VM, "" for none."""
+        if self.voters is not None:
+            for voter in self.voters.voters:
+                if voter.name == name:
+                    return voter.identity
+        return ""
+
+    def is_quorum(self, names: set[str]) -> bool:
+        """Return whether these decide.
+
+        The first voter list is formed by all genesis VMs together: a
+        VM whose disk was lost can't help to form a second one.
+        """
+        if self.voters is None:
+            return names.issuperset(self.genesis)
+        voting = self.voting
+        return 2 * len(names & voting.keys()) > len(voting)
+
+    def send(self, peer: str, msg: object) -> None:
+        """Send a message with this call's actions."""
+        self.out.append(actions.Send(peer, msg))
+
+    def saw_identity(self, peer: str, identity: str, now: float) -> None:
+        """Note which data folder a VM runs with."""
+        self.identities.setdefault(peer, {})[identity] = now
+
+    def follow(self, term: int, leader: str) -> None:
+        """Become a follower, in a higher term perhaps.
+
+        :raises StorageError: when the term can't be made durable
+        """
+        was_leader = self.is_leader
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        if was_leader:
+            self.recorder.event(
+                events.Event.LEADER_STEPPED_DOWN,
+                term=self.term,
+                newer_term=term,
+            )
+        if term > self.term:
+            vote = attrs.evolve(self.storage.vote, term=term, voted_for="")
+            self.storage.save_vote(vote)
+
+    def append(self, entries: tuple[messages.Entry, ...]) -> None:
+        """Make entries durable and use a voter list among them.
+
+        :raises StorageError: when they can't be made durable
+        """
+        self.storage.append(entries)
+        for entry in entries:
+            self._use_voters(entry)
+
+    def append_own(self, token: str, command: bytes) -> int:
+        """Append an entry of the leader's own term, return its index."""
+        index = self.storage.last_index + 1
+        self.append((messages.Entry(index, self.term, token, command),))
+        return index
+
+    def truncate(self, first: int) -> None:
+        """Drop entries from `first` on, voter lists too."""
+        self.storage.truncate(first)
+        while self.voter_sets and self.voter_sets[-1][0] >= first:
+            self.voter_sets.pop()
+
+    def load_voters(self) -> None:
+        """Read the voter lists from snapshot and log again."""
+        self.voter_sets.clear()
+        snapshot = self.storage.snapshot
+        first = self.storage.first_index
+        if snapshot is not None and snapshot.voters is not None:
+            self.voter_sets.append((snapshot.index, snapshot.voters))
+            first = snapshot.index + 1
+        for index in range(first, self.storage.last_index + 1):
+            self._use_voters(self.storage.entry(index))
+
+    def refuse(self, reason: reasons.Refusal) -> None:
+        """Count a refusal."""
+        self.recorder.refused(reason)
+
+    def _use_voters(self, entry: messages.Entry) -> None:
+        if not is_voters(entry.command):
+            return
+        voters = wire.unpack_message(entry.command)
+        self.voter_sets.append((entry.index, voters))
+        self.recorder.event(
+            events.Event.VOTERS_CHANGED,
+            index=entry.index,
+            generation=voters.generation,
+            voting=[v.name for v in voters.voters if v.voting],
+            learners=[v.name for v in voters.voters if not v.voting],
+        )
+
+
+def is_voters(command: bytes) -> bool:
+    """Return whether a packed command is a voter list."""
+    return command[:2] == bytes((0x92, _VOTERS_KIND))
--- /dev/null
+++ b/ebonytally/agreement_voters.py
@@ -0,0 +1,137 @@
+"""Changes of the voter list: one VM at a time, learners first."""
+
+import attrs
+
+from ebonytally import agreement_messages as messages
+from ebonytally import agreement_replication
+from ebonytally import agreement_state
+from ebonytally import wire
+
+# A VM that runs with another data folder has lost the one that the
+# list names, once that was not heard for this long.
+REPLACED_AFTER_S = 5.0
+CAUGHT_UP_ENTRIES = 16
+
+
+class VoterChanges:
+    """Brings the voter list to the wanted control VMs."""
+
+    def __init__(
+        self,
+        state: agreement_state.State,
+        replication: agreement_replication.Replication,
+    ) -> None:
+        """Start without a wish."""
+        self._state = state
+        self._replication = replication
+        self._wanted: frozenset[str] | None = None
+        self._led_since = 0.0
+
+    def want(self, names: tuple[str, ...]) -> None:
+        """Set the control VMs that there should be."""
+        self._wanted = frozenset(names)
+
+    def lead(self, now: float) -> None:
+        """Note that this VM leads from now on."""
+        self._led_since = now
+
+    def tick(self, now: float) -> None:
+        """As the leader, append the next change if it may be made.
+
+        :raises StorageError: when the disk refuses
+        """
+        state = self._state
+        if not self._replication.settled:
+            return
+        if state.voters_index > state.commit:
+            return
+        change = self._next(now)
+        if change is None:
+            return
+        voters = messages.VotersSet(state.generation, change)
+        state.append_own("", wire.pack_message(voters))
+        self._replication.follow_voters(now)
+
+    def _next(self, now: float) -> tuple[messages.Voter, ...] | None:
+        for find in (self._promoted, self._replaced, self._added):
+            change = find(now)
+            if change is not None:
+                return change
+        return self._removed()
+
+    def _list(self) -> tuple[messages.Voter, ...]:
+        return self._state.voters.voters
+
+    def _promoted(self, now: float) -> tuple[messages.Voter, ...] | None:
+        for voter in self._list():
+            if voter.voting or not self._is_caught_up(voter.name, now):
+                continue
+            return self._with(voter, attrs.evolve(voter, voting=True))
+        return None
+
+    def _is_caught_up(self, name: str, now: float) -> bool:
+        progress = self._replication.progress.get(name)
+        if progress is None or progress.match == 0:
+            return False
+        if now - progress.acked_at > self._state.cfg.election_s:
+            return False
+        behind = self._state.storage.last_index - progress.match
+        return behind <= CAUGHT_UP_ENTRIES
+
+    def _replaced(self, now: float) -> tuple[messages.Voter, ...] | None:
+        for voter in self._list():
+            fresh = self._fresh_identity(voter.name, now)
+            if voter.name == self._state.me or not fresh:
+                continue
+            learner = messages.Voter(voter.name, fresh, False)
+            return self._with(voter, learner)
+        return None
+
+    def _fresh_identity(self, name: str, now: float) -> str:
+        """Return the id of a VM that runs with another data folder."""
+        if now - self._led_since < REPLACED_AFTER_S:
+            return ""
+        heard = self._state.identities.get(name, {})
+        known = self._state.identity_of(name)
+        silent = now - heard.get(known, self._led_since)
+        if silent < REPLACED_AFTER_S:
+            return ""
+        recent = {
+            identity: at
+            for identity, at in heard.items()
+            if identity != known and now - at < REPLACED_AFTER_S
+        }
+        return max(recent, key=recent.get, default="")
+
+    def _added(self, now: float) -> tuple[messages.Voter, ...] | None:
+        listed = {voter.name for voter in self._list()}
+        for name in sorted((self._wanted or frozenset()) - listed):
+            heard = self._state.identities.get(name, {})
+            if not heard:
+                continue
+            identity = max(heard, key=heard.get)
+            learner = messages.Voter(name, identity, False)
+            return tuple(sorted((*self._list(), learner), key=_by_name))
+        return None
+
+    def _removed(self) -> tuple[messages.Voter, ...] | None:
+        if not self._wanted:
+            return None
+        unwanted = [v for v in self._list() if v.name not in self._wanted]
+        # The leader goes last, and hands over first.
+        unwanted.sort(key=lambda voter: voter.name == self._state.me)
+        for voter in unwanted:
+            if voter.name != self._state.me:
+                return tuple(v for v in self._list() if v != voter)
+        return None
+
+    def _with(
+        self,
+        old: messages.Voter,
+        new: messages.Voter,
+    ) -> tuple[messages.Voter, ...]:
+        return tuple(new if v == old else v for v in self._list())
+
+
+def _by_name(voter: messages.Voter) -> str:
+    return voter.name
--- /dev/null
+++ b/ebonytally/log_storage.py
@@ -0,0 +1,424 @@
+"""The replicated log, the vote and the snapshot of a control VM on disk.
+
+Files in the data folder, each with a format version:
+
+- ``vote``: term, vote, identity and generation; replaced as a whole
+- ``snapshot``: all state up to an index; replaced as a whole
+- ``log-<first index>``: segments of records, see `log_records`
+
+Everything that a caller may promise to others is synced before the
+method returns. Every method that writes raises StorageError when the
+disk refuses; then nothing of the call counts, and it may be tried again.
+"""
+
+import contextlib
+import random
+import struct
+import zlib
+
+import attrs
+
+from ebonytally import agreement_messages
+from ebonytally import errors
+from ebonytally import events
+from ebonytally import log_records
+from ebonytally import ports
+from ebonytally import recorder as recorder_lib
+from ebonytally import wire
+
+FORMAT_VERSION = 1
+SEGMENT_BYTES = 256 * 1024
+VOTE_FILE = "vote"
+SNAPSHOT_FILE = "snapshot"
+_SEGMENT_PREFIX = "log-"
+_SEGMENT_HEAD = b"EBTLOG" + struct.pack(">H", FORMAT_VERSION)
+_WHOLE_HEAD = struct.Struct(">6sHI")
+_WHOLE_MAGIC = b"EBTALL"
+
+Entry = agreement_messages.Entry
+Snapshot = agreement_messages.Snapshot
+
+
+@attrs.frozen
+class Vote:
+    """What a control VM promised, and who it is.
+
+    :param voted_for: candidate that has its vote in `term`, "" for none
+    :param identity: random id, made with the data folder
+    :param superseded: a higher generation exists, it has no vote
+    """
+
+    term: int
+    voted_for: str
+    identity: str
+    superseded: bool = False
+
+
+@attrs.define
+class _Segment:
+    """A log file.
+
+    :param offsets: place of each entry in the file
+    """
+
+    name: str
+    first: int
+    size: int
+    offsets: list[int]
+
+    @property
+    def last(self) -> int:
+        return self.first + len(self.offsets) - 1
+
+
+def segment_name(first: int) -> str:
+    """Return the name of the segment that starts at an index."""
+    return f"{_SEGMENT_PREFIX}{first:016d}"
+
+
+def segment_first(name: str) -> int:
+    """Return the index at which a segment starts."""
+    return int(name[len(_SEGMENT_PREFIX) :])
+
+
+def segment_names(disk: ports.Disk) -> list[str]:
+    """Return the names of all segments, oldest first."""
+    return [name for name in disk.names() if name.startswith(_SEGMENT_PREFIX)]
+
+
+def _seal(body: bytes) -> bytes:
+    head = _WHOLE_HEAD.pack(_WHOLE_MAGIC, FORMAT_VERSION, zlib.crc32(body))
+    return head + body
+
+
+def _unseal(name: str, data: bytes) -> bytes:
+    if len(data) < _WHOLE_HEAD.size:
+        raise errors.DamagedLogError("open storage", name, "is cut short")
+    magic, version, crc = _WHOLE_HEAD.unpack_from(data)
+    if magic != _WHOLE_MAGIC:
+        raise errors.DamagedLogError("open storage", name, "unknown format")
+    if version != FORMAT_VERSION:
+        detail = f"has format version {version}, known is {FORMAT_VERSION}"
+        raise errors.StorageError("open storage", name, detail)
+    body = data[_WHOLE_HEAD.size :]
+    if zlib.crc32(body) != crc:
+        raise errors.DamagedLogError("open storage", name, "wrong checksum")
+    return body
+
+
+class LogStorage:
+    """The log of one control VM, in memory and on disk."""
+
+    def __init__(
+        self,
+        disk: ports.Disk,
+        recorder: recorder_lib.Recorder,
+        rng: random.Random,
+    ) -> None:
+        """Open the data folder, or start an empty one.
+
+        :param rng: source of the identity of a new folder
+        :raises DamagedLogError: when promised entries can't be read
+        :raises StorageError: when the disk refuses
+        """
+        self._disk = disk
+        self._recorder = recorder
+        self._segments: list[_Segment] = []
+        self._entries: list[Entry] = []
+        self._first = 1
+        self._roll = False
+        self._cut_first = False
+        self._noted = 0
+        self.commit = 0
+        self.snapshot: Snapshot | None = self._read_snapshot()
+        self._read_segments()
+        self.vote = self._read_vote(rng)
+        self._recorder.event(
+            events.Event.STORAGE_OPENED,
+            last_index=self.last_index,
+            term=self.vote.term,
+            commit=self.commit,
+        )
+
+    @property
+    def first_index(self) -> int:
+        """Return the lowest index whose entry is here."""
+        return self._first
+
+    @property
+    def last_index(self) -> int:
+        """Return the highest index, 0 for an empty log."""
+        return self._first + len(self._entries) - 1
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.term_at(self.last_index) or 0
+
+    @property
+    def clean(self) -> bool:
+        """Return whether a refused write left nothing behind on disk."""
+        return not self._cut_first
+
+    @property
+    def empty(self) -> bool:
+        """Return whether nothing was ever appended or installed."""
+        return self.last_index == 0
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None when it isn't known."""
+        if index == 0:
+            return 0
+        if self.snapshot is not None and index == self.snapshot.index:
+            return self.snapshot.term
+        if self._first <= index <= self.last_index:
+            return self._entries[index - self._first].term
+        return None
+
+    def entry(self, index: int) -> Entry:
+        """Return the entry at an index that is here."""
+        return self._entries[index - self._first]
+
+    def entries(
+        self,
+        first: int,
+        max_count: int,
+        max_bytes: int,
+    ) -> tuple[Entry, ...]:
+        """Return entries from `first` on, at least one if there is one."""
+        found: list[Entry] = []
+        size = 0
+        start = first - self._first
+        for entry in self._entries[start : start + max_count]:
+            size += len(entry.command)
+            if found and size > max_bytes:
+                break
+            found.append(entry)
+        return tuple(found)
+
+    def save_vote(self, vote: Vote) -> None:
+        """Make a term and vote durable."""
+        self._disk.replace(VOTE_FILE, _seal(wire.pack(vote)))
+        self.vote = vote
+
+    def supersede(self) -> None:
+        """Make durable that this data folder has no vote any more."""
+        self.save_vote(attrs.evolve(self.vote, superseded=True))
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Add entries behind the last one and make them durable."""
+        if not entries:
+            return
+        self._mend()
+        segment = self._segment_for(entries[0].index)
+        data = b"" if segment.size else _SEGMENT_HEAD
+        offsets = []
+        for entry in entries:
+            offsets.append(segment.size + len(data))
+            data += log_records.encode_entry(entry, self.last_index)
+        self._write(segment, data, durable=True)
+        segment.offsets += offsets
+        self._entries += entries
+        self._noted = 0
+
+    def note(self, commit: int) -> None:
+        """Write down the commit index, durable with the next append."""
+        self.commit = max(self.commit, commit)
+        written = bool(self._segments) and self._segments[-1].size > 0
+        if not written or self._noted == self.commit:
+            return
+        self._mend()
+        data = log_records.encode_note(self.last_index, self.commit)
+        self._write(self._segments[-1], data, durable=False)
+        self._noted = self.commit
+
+    def truncate(self, first: int) -> None:
+        """Drop the entries from `first` on.
+
+        :raises DamagedLogError: when a committed entry would go
+        """
+        if first <= self.commit:
+            detail = f"entry {first} conflicts but was committed"
+            raise errors.DamagedLogError("truncate log", "", detail)
+        self._mend()
+        while self._segments and self._segments[-1].first >= first:
+            self._disk.remove(self._segments[-1].name)
+            gone = self._segments.pop()
+            del self._entries[gone.first - self._first :]
+        if not self._segments:
+            return
+        segment = self._segments[-1]
+        keep = first - segment.first
+        if keep >= len(segment.offsets):
+            return
+        size = segment.offsets[keep]
+        self._disk.truncate(segment.name, size)
+        segment.size = size
+        del segment.offsets[keep:]
+        del self._entries[first - self._first :]
+
+    def save_snapshot(self, snapshot: Snapshot, keep: int) -> None:
+        """Put a snapshot of applied entries in place and compact.
+
+        :param keep: entries before the snapshot that stay, for VMs
+            that are a little behind
+        """
+        self._disk.replace(SNAPSHOT_FILE, _seal(wire.pack(snapshot)))
+        self.snapshot = snapshot
+        self._roll = True
+        self._drop_below(snapshot.index - keep)
+
+    def install_snapshot(self, snapshot: Snapshot) -> None:
+        """Take a leader's snapshot in place of what is here.
+
+        Entries behind it stay when the log agrees with it.
+        """
+        agrees = self.term_at(snapshot.index) == snapshot.term
+        self._disk.replace(SNAPSHOT_FILE, _seal(wire.pack(snapshot)))
+        self.snapshot = snapshot
+        self.commit = max(self.commit, snapshot.index)
+        if not agrees:
+            self._drop_all()
+
+    def _drop_all(self) -> None:
+        while self._segments:
+            self._disk.remove(self._segments[-1].name)
+            self._segments.pop()
+        self._entries.clear()
+        self._cut_first = False
+        self._first = self.snapshot.index + 1 if self.snapshot else 1
+
+    def _drop_below(self, index: int) -> None:
+        while len(self._segments) > 1 and self._segments[0].last <= index:
+            self._disk.remove(self._segments[0].name)
+            gone = self._segments.pop(0)
+            del self._entries[: len(gone.offsets)]
+            self._first = gone.last + 1
+
+    def _segment_for(self, index: int) -> _Segment:
+        current = self._segments[-1] if self._segments else None
+        full = current is not None and current.size >= SEGMENT_BYTES
+        if current is None or full or (self._roll and current.offsets):
+            current = _Segment(segment_name(index), index, 0, [])
+            self._segments.append(current)
+            self._roll = False
+        return current
+
+    def _write(self, segment: _Segment, data: bytes, durable: bool) -> None:
+        try:
+            self._disk.append(segment.name, data)
+            if durable:
+                self._disk.sync(segment.name)
+        except errors.StorageError:
+            self._cut_first = True
+            with contextlib.suppress(errors.StorageError):
+                self._mend()
+            raise
+        segment.size += len(data)
+
+    def _mend(self) -> None:
+        """Cut off what a refused write may have left behind."""
+        if not self._cut_first:
+            return
+        segment = self._segments[-1]
+        if segment.size:
+            self._disk.truncate(segment.name, segment.size)
+        else:
+            self._disk.remove(segment.name)
+        self._cut_first = False
+
+    def _read_vote(self, rng: random.Random) -> Vote:
+        data = self._disk.read(VOTE_FILE)
+        if data is not None:
+            return wire.unpack(_unseal(VOTE_FILE, data), Vote)
+        if self.snapshot is not None or self._entries:
+            raise errors.DamagedLogError("open storage", VOTE_FILE, "missing")
+        vote = Vote(0, "", f"{rng.getrandbits(64):016x}")
+        self.save_vote(vote)
+        return vote
+
+    def _read_snapshot(self) -> Snapshot | None:
+        data = self._disk.read(SNAPSHOT_FILE)
+        if data is None:
+            return None
+        snapshot = wire.unpack(_unseal(SNAPSHOT_FILE, data), Snapshot)
+        self._first = snapshot.index + 1
+        self.commit = snapshot.index
+        return snapshot
+
+    def _read_segments(self) -> None:
+        names = segment_names(self._disk)
+        if names:
+            self._first = segment_first(names[0])
+        for place, name in enumerate(names):
+            self._read_segment(name, names[place + 1 :])
+        self._forget_stale()
+        self.commit = min(self.commit, self.last_index)
+
+    def _read_segment(self, name: str, later: list[str]) -> None:
+        data = self._disk.read(name) or b""
+        head = data[: len(_SEGMENT_HEAD)]
+        if len(head) == len(_SEGMENT_HEAD) and head != _SEGMENT_HEAD:
+            detail = "unknown format or version"
+            raise errors.DamagedLogError("open storage", name, detail)
+        first = segment_first(name)
+        if first != self.last_index + 1:
+            detail = f"entries from {self.last_index + 1} are missing"
+            raise errors.DamagedLogError("open storage", name, detail)
+        scan = log_records.scan(data, len(_SEGMENT_HEAD))
+        offsets = []
+        for record in scan.records:
+            if record.entry is None:
+                self.commit = max(self.commit, record.commit)
+                continue
+            if record.entry.index != self.last_index + 1:
+                detail = f"entry {self.last_index + 1} is missing"
+                raise errors.DamagedLogError("open storage", name, detail)
+            offsets.append(record.offset)
+            self._entries.append(record.entry)
+        self._check_tail(name, data, scan, later)
+        if scan.records:
+            segment = _Segment(name, first, scan.end, offsets)
+            self._segments.append(segment)
+        else:
+            self._disk.remove(name)
+
+    def _check_tail(
+        self,
+        name: str,
+        data: bytes,
+        scan: log_records.Scan,
+        later: list[str],
+    ) -> None:
+        if scan.end >= len(data) and scan.records:
+            return
+        expected = self.last_index + 1
+        # Behind the last entry of a full segment only notes can be torn.
+        missing = bool(later) and segment_first(later[0]) != expected
+        if scan.damaged_after >= expected or missing:
+            detail = f"entry {expected} at byte {scan.end} is damaged"
+            raise errors.DamagedLogError("open storage", name, detail)
+        self._recorder.counted("storage_tail_cut")
+        self._recorder.event(
+            events.Event.STORAGE_TAIL_CUT,
+            file=name,
+            size=len(data) - min(scan.end, len(data)),
+        )
+        if scan.records:
+            self._disk.truncate(name, scan.end)
+
+    def _forget_stale(self) -> None:
+        """Drop a log that an installed snapshot has overtaken."""
+        if self.snapshot is None:
+            return
+        index = self.snapshot.index
+        here = self._first <= index <= self.last_index
+        agrees = here and (
+            self._entries[index - self._first].term == self.snapshot.term
+        )
+        if agrees or self._first == index + 1:
+            return
+        if self._first > index + 1:
+            detail = f"entries {index + 1} to {self._first - 1} are missing"
+            raise errors.DamagedLogError("open storage", "", detail)
+        self._drop_all()
--- a/ebonytally/reasons.py
+++ b/ebonytally/reasons.py
@@ -66,6 +66,12 @@
     NO_LEADER = "no_leader"
     NOT_LEADER = "not_leader"
     STORAGE_FULL = "storage_full"
+    # Replicated log.
+    PROPOSAL_OUTCOME_UNKNOWN = "proposal_outcome_unknown"
+    PROPOSAL_QUEUE_FULL = "proposal_queue_full"
+    VOTE_REFUSED = "vote_refused"
+    GENERATION_OLD = "generation_old"
+    SNAPSHOT_REFUSED = "snapshot_refused"
 
 
 class Retry(enum.StrEnum):
@@ -77,6 +83,9 @@
     REQUEST_SILENT_CONNECTION = "request_silent_connection"
     KEY_CLAIM_LOST = "key_claim_lost"
     PROPOSAL_LEADER_CHANGED = "proposal_leader_changed"
+    PROPOSAL_UNANSWERED = "proposal_unanswered"
+    APPEND_REJECTED = "append_rejected"
+    SNAPSHOT_CHUNK_LOST = "snapshot_chunk_lost"
     ANNOUNCEMENT_FORWARD = "announcement_forward"
     SPREAD_GAP = "spread_gap"
     PEER_SEND_FAILED = "peer_send_failed"
--- a/ebonytally/settings.py
+++ b/ebonytally/settings.py
@@ -120,6 +120,7 @@
     :param plan_s: how long a plan may be confirmed
     :param snapshot_entries: entries after which the log is compacted
     :param suspect_s: silence after which a VM is suspected
+    :param catch_up_bytes_s: log and snapshot bytes for one voter
     """
 
     heartbeat_s: float = 0.25
@@ -128,6 +129,7 @@
     plan_s: float = 600.0
     snapshot_entries: int = 1000
     suspect_s: float = 1.5
+    catch_up_bytes_s: int = 128 * 1024
 
 
 @attrs.frozen
--- a/ebonytally/wire.py
+++ b/ebonytally/wire.py
@@ -81,6 +81,24 @@
         raise errors.WireError("unpack", cls.__name__, repr(exc)) from exc
 
 
+def pack_message(msg: object) -> bytes:
+    """Return a registered message as msgpack ``[kind, fields]``."""
+    fields = _converter.unstructure(msg)
+    return msgpack.packb([_KIND_OF[type(msg)], fields], use_bin_type=True)
+
+
+def unpack_message(data: bytes) -> Any:
+    """Return the registered message that `pack_message` wrote.
+
+    :raises WireError: when the bytes are no such message
+    """
+    try:
+        kind, fields = msgpack.unpackb(data, raw=False, use_list=False)
+        return _converter.structure(fields, _KINDS[kind])
+    except Exception as exc:
+        raise errors.WireError("unpack message", "", repr(exc)) from exc
+
+
 def encode(key: bytes, sender: str, msg: object) -> bytes:
     """Return `msg` as a frame, authenticated with the cluster key.
 
--- /dev/null
+++ b/tests/agreement_fakes.py
@@ -0,0 +1,248 @@
+"""A disk that fails and a network that misbehaves, for agreement tests."""
+
+import random
+
+import attrs
+
+from ebonytally import actions
+from ebonytally import agreement
+from ebonytally import errors
+from ebonytally import recorder
+from ebonytally import settings
+from ebonytally import wire
+
+KEY = b"k" * 32
+
+
+@wire.message(60001)
+@attrs.frozen
+class Put:
+    """Test command: add a value to the machine's list."""
+
+    value: str
+
+
+class Disk:
+    """Files in memory; what isn't synced is lost in a crash."""
+
+    def __init__(self):
+        self.durable: dict[str, bytes] = {}
+        self.files: dict[str, bytes] = {}
+        self.full = False
+        self.lying = False
+
+    def _check(self, step):
+        if self.full:
+            raise errors.StorageError(step, "disk", "no space left")
+
+    def read(self, name):
+        return self.files.get(name)
+
+    def append(self, name, data):
+        if self.full:
+            half = data[: len(data) // 2]
+            self.files[name] = self.files.get(name, b"") + half
+        self._check("append")
+        self.files[name] = self.files.get(name, b"") + data
+
+    def sync(self, name):
+        self._check("sync")
+        if not self.lying:
+            self.durable[name] = self.files[name]
+
+    def replace(self, name, data):
+        self._check("replace")
+        self.files[name] = data
+        if not self.lying:
+            self.durable[name] = data
+
+    def truncate(self, name, size):
+        self.files[name] = self.files[name][:size]
+        self.durable[name] = self.files[name]
+
+    def remove(self, name):
+        self.files.pop(name, None)
+        self.durable.pop(name, None)
+
+    def names(self):
+        return sorted(self.files)
+
+    def crash(self, rng=None):
+        """Lose what isn't synced, but for a torn beginning of it."""
+        kept = dict(self.durable)
+        for name, data in self.files.items():
+            old = kept.get(name, b"")
+            if rng and data.startswith(old) and len(data) > len(old):
+                tail = bytearray(data[len(old) :][: rng.randrange(200)])
+                if tail and rng.random() < 0.5:
+                    tail[rng.randrange(len(tail))] ^= 0x55
+                kept[name] = old + bytes(tail)
+        self.files = kept
+        self.durable = dict(kept)
+
+
+class Machine:
+    """A state machine that keeps a list of values."""
+
+    def __init__(self):
+        self.values: list[str] = []
+
+    def apply(self, command):
+        self.values.append(command.value)
+        return len(self.values)
+
+    def snapshot(self):
+        return "\n".join(self.values).encode()
+
+    def restore(self, data):
+        self.values = data.decode().split("\n") if data else []
+
+
+LIMITS = settings.Control(snapshot_entries=20)
+
+
+def make_settings(name, limits=LIMITS):
+    """Return settings of which agreement reads only the limits."""
+    return settings.Settings(
+        name=name,
+        address="127.0.0.1",
+        data_centre="d1",
+        region="r1",
+        cluster_key="00" * 32,
+        data_folder="",
+        seeds=(),
+        control=True,
+        limits=limits,
+    )
+
+
+class Cluster:
+    """Agreement objects joined by a network in virtual time."""
+
+    def __init__(self, names, seed=0, limits=LIMITS, delay_s=0.002):
+        self.rng = random.Random(seed)
+        self.limits = limits
+        self.genesis = tuple(names)
+        self.delay_s = delay_s
+        self.now = 0.0
+        self.starts = 0
+        self.disks = {}
+        self.nodes = {}
+        self.machines = {}
+        self.recorder = recorder.MemoryRecorder()
+        self.queue = []
+        self.cuts = set()
+        self.decided = {}
+        self.loss = self.duplicate = self.jitter_s = 0.0
+        self.bytes_sent = {}
+        self.leaders = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name, disk=None):
+        """Start a VM on its disk, or on a new one."""
+        if disk is not None or name not in self.disks:
+            self.disks[name] = disk or Disk()
+        self.starts += 1
+        self.machines[name] = Machine()
+        self.nodes[name] = agreement.Agreement(
+            make_settings(name, self.limits),
+            name,
+            self.genesis,
+            self.disks[name],
+            self.machines[name],
+            self.recorder,
+            self.rng.getrandbits(32) + self.starts,
+        )
+
+    def crash(self, name):
+        """Stop a VM at once and lose what wasn't synced."""
+        del self.nodes[name]
+        self.disks[name].crash(self.rng)
+
+    def cut(self, one, other):
+        """Drop messages both ways."""
+        self.cuts |= {(one, other), (other, one)}
+
+    def isolate(self, name):
+        """Cut a VM off from all others."""
+        for other in set(self.disks) - {name}:
+            self.cut(name, other)
+
+    def do(self, name, acts):
+        """Carry actions out."""
+        for act in acts:
+            if isinstance(act, actions.Decided):
+                self.decided[act.token] = act
+                continue
+            frame = wire.encode(KEY, name, act.msg)
+            sent = self.bytes_sent.get(name, 0)
+            self.bytes_sent[name] = sent + len(frame) + 28
+            for _ in range(1 + (self.rng.random() < self.duplicate)):
+                if self.rng.random() < self.loss:
+                    continue
+                due = self.now + self.delay_s
+                due += self.jitter_s * self.rng.random()
+                self.queue.append((due, self.rng.random(), act.peer, frame))
+        node = self.nodes[name]
+        if node.is_leader:
+            known = self.leaders.setdefault(node.term, name)
+            assert known == name, f"two leaders in term {node.term}"
+
+    def step(self, dt=0.02):
+        """Let time pass: deliver what is due, tick all."""
+        end = self.now + dt
+        while self.queue and min(self.queue)[0] <= end:
+            item = min(self.queue)
+            self.queue.remove(item)
+            due, _, peer, frame = item
+            self.now = max(self.now, due)
+            self.deliver(peer, frame)
+        self.now = end
+        for name in sorted(self.nodes):
+            self.do(name, self.nodes[name].tick(self.now))
+
+    def deliver(self, peer, frame):
+        """Hand a frame to its VM unless the way is cut."""
+        sender, msg = wire.decode(KEY, frame)
+        if (sender, peer) in self.cuts or peer not in self.nodes:
+            return
+        self.do(peer, self.nodes[peer].handle(sender, msg, self.now))
+
+    def run(self, seconds):
+        """Let some seconds pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.step()
+
+    def run_until(self, holds, seconds=30.0):
+        """Let time pass until something holds."""
+        end = self.now + seconds
+        while not holds():
+            assert self.now < end, "did not come about in time"
+            self.step()
+
+    @property
+    def leader(self):
+        """Return the leader that may read, None for none."""
+        for name, node in self.nodes.items():
+            if node.may_read(self.now):
+                return name
+        return None
+
+    def elect(self):
+        """Run until there is a settled leader, return it."""
+        self.run_until(lambda: self.leader is not None)
+        return self.leader
+
+    def propose(self, name, token, value):
+        """Propose a value at a VM."""
+        acts = self.nodes[name].propose(token, Put(value), self.now)
+        self.do(name, acts)
+
+    def put(self, token, value):
+        """Propose at the leader and wait until it is applied there."""
+        name = self.elect()
+        self.propose(name, token, value)
+        self.run_until(lambda: token in self.decided)
+        return self.decided[token]
--- /dev/null
+++ b/tests/test_agreement_log.py
@@ -0,0 +1,67 @@
+"""Agreement: elections, proposals, catching up."""
+
+from tests import agreement_fakes as fakes
+
+NAMES = ("a", "b", "c")
+
+
+def _others(name):
+    return [other for other in NAMES if other != name]
+
+
+def test_forwarded_proposal_is_applied_everywhere():
+    cluster = fakes.Cluster(NAMES)
+    leader = cluster.elect()
+    cluster.propose(_others(leader)[0], "t1", "x")
+    cluster.run(1.0)
+    assert cluster.decided["t1"].ok
+    assert cluster.decided["t1"].result == 1
+    assert all(m.values == ["x"] for m in cluster.machines.values())
+
+
+def test_without_a_leader_a_proposal_is_refused():
+    cluster = fakes.Cluster(NAMES)
+    cluster.propose("a", "t1", "x")
+    assert cluster.decided["t1"].reason == "no_leader"
+
+
+def test_same_token_is_applied_once_across_leaders():
+    cluster = fakes.Cluster(NAMES)
+    first = cluster.elect()
+    assert cluster.put("t1", "x").ok
+    cluster.crash(first)
+    second = cluster.elect()
+    cluster.decided.clear()
+    cluster.propose(second, "t1", "x")
+    cluster.run(1.0)
+    assert cluster.decided["t1"].result == 1
+    assert cluster.machines[second].values == ["x"]
+
+
+def test_crash_of_all_keeps_what_was_accepted():
+    cluster = fakes.Cluster(NAMES)
+    for number in range(50):
+        assert cluster.put(f"t{number}", f"v{number}").ok
+    for name in NAMES:
+        cluster.crash(name)
+    for name in NAMES:
+        cluster.start(name)
+    cluster.elect()
+    cluster.run(1.0)
+    wanted = [f"v{number}" for number in range(50)]
+    assert all(m.values == wanted for m in cluster.machines.values())
+
+
+def test_silent_vm_catches_up_and_does_not_disturb():
+    cluster = fakes.Cluster(NAMES)
+    leader = cluster.elect()
+    slow = _others(leader)[0]
+    cluster.isolate(slow)
+    for number in range(100):
+        assert cluster.put(f"t{number}", f"v{number}").ok
+    term = cluster.nodes[leader].term
+    cluster.cuts.clear()
+    wanted = cluster.machines[leader].values
+    cluster.run_until(lambda: cluster.machines[slow].values == wanted, 5.0)
+    assert cluster.nodes[leader].is_leader
+    assert cluster.nodes[leader].term == term
