--- a/ebonytally/actions.py
+++ b/ebonytally/actions.py
@@ -73,6 +73,7 @@
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
+    STILL_RUNNING = "still_running"
     OUTCOME_UNKNOWN = "outcome_unknown"
     FAILED_AFTER_RUNNING = "failed_after_running"
 
--- a/ebonytally/ports.py
+++ b/ebonytally/ports.py
@@ -12,6 +12,8 @@
 from ebonytally import actions
 from ebonytally import view
 
+MAX_KEPT_BYTES = 16 * 1024
+
 
 class Slice(Protocol):
     """A duty of the daemon with its own state."""
@@ -88,12 +90,18 @@
     :param took_s: seconds from dispatch to the end
     :param status: HTTP status, 0 when there was no whole answer
     :param detail: what went wrong, for the log
+    :param headers: of a small answer to a request with a key
+    :param body: of such an answer, `MAX_KEPT_BYTES` at most
+    :param has_body: `headers` and `body` are the whole answer
     """
 
     kind: "AttemptKind"
     took_s: float
     status: int = 0
     detail: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    has_body: bool = False
 
 
 class AttemptKind(enum.StrEnum):
--- a/ebonytally/request_head.py
+++ b/ebonytally/request_head.py
@@ -1,7 +1,11 @@
 """What the deciding slice knows of a caller's request."""
 
+import hashlib
+
 import attrs
 
+CONTENT_BYTES = 16
+
 
 @attrs.frozen
 class RequestHead:
@@ -26,3 +30,20 @@
     body_bytes: int
     deadline: float
     wall: float
+
+
+def with_body(
+    head: RequestHead,
+    target: str,
+    body: bytes,
+) -> RequestHead:
+    """Return the head with the length and the digest of its content."""
+    digest = hashlib.blake2b(digest_size=CONTENT_BYTES)
+    for part in (head.method.encode(), target.encode("latin-1"), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return attrs.evolve(
+        head,
+        content=digest.digest(),
+        body_bytes=len(body),
+    )
--- a/ebonytally/request_queue.py
+++ b/ebonytally/request_queue.py
@@ -6,6 +6,8 @@
 
 from ebonytally import request_head
 
+LATEST = 32
+
 
 @attrs.define
 class ServiceTimes:
@@ -18,9 +20,18 @@
     mean_s: float = 0.0
     gap_s: float = 0.0
     _last: float = -1.0
+    _latest: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=LATEST),
+    )
+
+    @property
+    def longest_s(self) -> float:
+        """Return the longest of the latest attempts."""
+        return max(self._latest, default=0.0)
 
     def finished(self, took_s: float, now: float) -> None:
         """Take in an attempt that ended with an answer."""
+        self._latest.append(took_s)
         self.mean_s = _average(self.mean_s, took_s)
         if self._last >= 0.0:
             self.gap_s = _average(self.gap_s, min(now - self._last, 1.0))
--- a/ebonytally/request_retry.py
+++ b/ebonytally/request_retry.py
@@ -34,9 +34,14 @@
         """Count a first try."""
         self._tokens = min(self._tokens + self._share, MAX_TOKENS)
 
+    @property
+    def left(self) -> bool:
+        """Tell whether there is a retry to give."""
+        return self._tokens >= 1.0
+
     def spend(self) -> bool:
         """Take one retry out of the budget, False when it is empty."""
-        if self._tokens < 1.0:
+        if not self.left:
             return False
         self._tokens -= 1.0
         return True
--- a/ebonytally/requests.py
+++ b/ebonytally/requests.py
@@ -129,6 +129,31 @@
         live.passing = True
         return True
 
+    def silent(self, attempt: int, now: float) -> bool:
+        """Tell whether to give up an attempt without progress.
+
+        Asked when a connection made no progress for a while and a new
+        one to the same upstream could be made. A non-idempotent request
+        is left to its deadline: its upstream may only be slow.
+        """
+        made = self._attempts.get(attempt)
+        live = made and self._live.get(made.req)
+        if not live or not live.head.idempotent or live.passing:
+            return False
+        times = self._queue(made.service).times
+        if times.longest_s >= self._cfg.silent_s:
+            return False
+        return self._budget.left and now + times.mean_s <= live.head.deadline
+
+    def known(self, req: int) -> bool:
+        """Tell whether a request will still be answered."""
+        return req in self._live
+
+    def max_request_bytes(self, service: str) -> int:
+        """Return the largest body of a service, 0 if it is unknown."""
+        found = self._services.get(service)
+        return found.max_request_bytes if found else 0
+
     def cancelled(self, req: int, now: float) -> list[actions.Action]:
         """Forget a request whose caller went away."""
         live = self._live.pop(req, None)
--- a/tests/test_request_dispatch.py
+++ b/tests/test_request_dispatch.py
@@ -15,13 +15,13 @@
 K = ports.AttemptKind
 
 
-def _upstream(number: int) -> view.Upstream:
+def _upstream(number: int, port: int) -> view.Upstream:
     return view.Upstream(
         id=number,
         service="desk",
         address="127.0.0.1",
         port=0,
-        request_port=9000 + number,
+        request_port=port,
         data_centre="dc-1",
         slots=1,
         connections=1,
@@ -34,6 +34,7 @@
 
     def __init__(self, count: int = 2) -> None:
         self.free = {number: 1 for number in range(1, count + 1)}
+        self.ports = {number: 9000 + number for number in self.free}
         self.wanted = 0
         self.back: list[tuple[int, ports.AttemptKind]] = []
 
@@ -41,7 +42,7 @@
         for number, free in self.free.items():
             if free and number not in exclude:
                 self.free[number] = 0
-                return _upstream(number)
+                return _upstream(number, self.ports[number])
         return None
 
     def want(self, service, count, now):
@@ -57,8 +58,8 @@
 class Bed:
     """One entry VM's requests over fake slots."""
 
-    def __init__(self, slots: int = 2, **service) -> None:
-        cfg = settings.Settings(
+    def __init__(self, slots: int = 2, cfg=None, **service) -> None:
+        cfg = cfg or settings.Settings(
             name="vm-1",
             address="127.0.0.1",
             data_centre="dc-1",
@@ -77,7 +78,7 @@
             1,
         )
         desk = view.Service("desk", "10.0.0.1", 80, 6, ("dc-1",), **service)
-        known = tuple(_upstream(number) for number in self.slots.free)
+        known = tuple(_upstream(*item) for item in self.slots.ports.items())
         new = view.View(1, services=(desk,), upstreams=known)
         self.requests.changed(new, 0.0)
 
