Answer intents with plans, confirmed over HTTP

Operators need a plan before anything changes, and one answer to what they resend. Tables come from flow_table; the version of a service created again starts at the revision, so that a proposal from its former life can't pass.

--- a/ebonytally/actions.py
+++ b/ebonytally/actions.py
@@ -114,6 +114,26 @@
     reason: str = ""
 
 
+@attrs.frozen
+class Reply:
+    """Answer an operator's request.
+
+    :param req: number of the request at this entry VM
+    :param answer: a `plan_messages.Answer` or `plan_messages.OpenPlans`
+    """
+
+    req: int
+    answer: object
+
+
 Action = (
-    Send | Forward | ToCaller | Propose | Dispatch | Cancel | Answer | Decided
+    Send
+    | Forward
+    | ToCaller
+    | Propose
+    | Dispatch
+    | Cancel
+    | Answer
+    | Decided
+    | Reply
 )
--- a/ebonytally/config.py
+++ b/ebonytally/config.py
@@ -10,7 +10,7 @@
 import attrs
 
 from ebonytally import commands
-from ebonytally import table_fill as flow_table
+from ebonytally import flow_table
 from ebonytally import view
 
 _OPERATORS = (
@@ -268,7 +268,8 @@
     table = table_of(old, command.service)
     if table is None:
         return old
-    return _with_table(old, table, flow_table.placing(table, command.slots))
+    new = flow_table.placing(table, command.slots, command.seen)
+    return _with_table(old, table, new)
 
 
 @_changed.register
@@ -279,7 +280,12 @@
     table = table_of(old, command.service)
     if table is None:
         return old
-    new = flow_table.pinned(table, command.slots, command.base)
+    new = flow_table.pinned(
+        table,
+        command.slots,
+        command.base,
+        command.seen,
+    )
     return _with_table(old, table, new)
 
 
@@ -305,7 +311,7 @@
         service = service_of(cfg, name)
         upstreams = tuple(up for up in cfg.upstreams if up.service == name)
         tables[name] = flow_table.replan(
-            tables.get(name),
+            tables.get(name) or _empty_table(service, cfg),
             service,
             upstreams,
             cfg.out,
@@ -314,6 +320,19 @@
     return attrs.evolve(cfg, tables=ordered)
 
 
+def _empty_table(service: view.Service, cfg: view.View) -> view.Table:
+    """Return the first table of a service.
+
+    Its version starts at the revision: a service that is created again
+    under the same name never has a version that it had before.
+    """
+    return view.Table(
+        service.name,
+        (0,) * service.slots,
+        version=cfg.revision + 1,
+    )
+
+
 def service_of(cfg: view.View, name: str) -> view.Service | None:
     """Return the service of that name, None if there is none."""
     for service in cfg.services:
--- /dev/null
+++ b/ebonytally/control_state.py
@@ -0,0 +1,96 @@
+"""The state machine that the replicated log drives."""
+
+import collections
+
+import attrs
+
+from ebonytally import config
+from ebonytally import plan_book
+from ebonytally import plan_messages as messages
+from ebonytally import view
+from ebonytally import wire
+
+MAX_EFFECTS = 4096
+
+
+@attrs.frozen
+class Effect:
+    """One command that gave a revision of the view."""
+
+    revision: int
+    command: object
+
+
+@attrs.frozen
+class _State:
+    view: view.View
+    book: plan_book.Saved
+
+
+class Machine:
+    """View, plans and kept answers; the same at every control VM.
+
+    It is a `ports.StateMachine`.
+    """
+
+    def __init__(self) -> None:
+        """Start with the empty view of revision 0."""
+        self.view = view.View()
+        self._book = plan_book.PlanBook()
+        self._effects: collections.deque[Effect] = collections.deque(
+            maxlen=MAX_EFFECTS,
+        )
+
+    def apply(self, command: object) -> object:
+        """Apply one committed command and return its result.
+
+        :raises TypeError: when the command isn't known
+        """
+        match command:
+            case messages.PlanRead(plan=plan, wall=wall):
+                return self._book.read(plan, wall)
+            case messages.OpenPlansRead(wall=wall):
+                found = self._book.open_plans(self.view, wall)
+                return messages.OpenPlans(found)
+            case (
+                messages.IntentStated()
+                | messages.PlanConfirmed()
+                | messages.PlanDiscarded()
+            ):
+                return self._decide(command)
+        self._step(command)
+        return messages.Applied(self.view.revision)
+
+    def effects(self) -> list[Effect]:
+        """Return the revisions made since the last call, in order.
+
+        After `restore`, or when nobody called for `MAX_EFFECTS`
+        revisions, some are missing: take the whole view instead.
+        """
+        taken = list(self._effects)
+        self._effects.clear()
+        return taken
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return wire.pack(_State(self.view, self._book.save()))
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by what `snapshot` returned.
+
+        :raises WireError: when the bytes are no such state
+        """
+        state = wire.unpack(data, _State)
+        self.view = state.view
+        self._book = plan_book.PlanBook(state.book)
+        self._effects.clear()
+
+    def _decide(self, command: object) -> messages.Answer:
+        ruling = self._book.decide(command, self.view)
+        for step in ruling.steps:
+            self._step(step)
+        return ruling.answer
+
+    def _step(self, command: object) -> None:
+        self.view = config.apply(self.view, command)
+        self._effects.append(Effect(self.view.revision, command))
--- /dev/null
+++ b/ebonytally/plan_text.py
@@ -0,0 +1,82 @@
+"""A plan as lines of text for the operator who judges it."""
+
+import datetime
+
+from ebonytally import plan_messages as messages
+
+_STATES = {
+    messages.PlanState.OPEN: "open: nothing has changed yet",
+    messages.PlanState.CONFIRMED: "confirmed and in force",
+    messages.PlanState.DISCARDED: "discarded: nothing was changed",
+    messages.PlanState.EXPIRED: "expired: nothing was changed",
+    messages.PlanState.BASIS_MOVED: "void: the configuration had changed",
+}
+
+
+def lines(plan: messages.Plan) -> list[str]:
+    """Return the plan as lines of at most about 100 characters."""
+    draft = plan.draft
+    out = [f"Plan {plan.id} by {plan.operator}, {_STATES[plan.state]}"]
+    out.append("What changes:")
+    out += [f"  {line}" for line in draft.changes]
+    out.append(f"VMs concerned: {', '.join(draft.vms) or 'none'}")
+    out += _capacity_lines(draft.capacities)
+    if draft.warnings:
+        out.append("WARNINGS:")
+        out += [f"  ! {warn.text}" for warn in draft.warnings]
+    else:
+        out.append("No warnings.")
+    out += _next_lines(plan)
+    return out
+
+
+def _capacity_lines(
+    capacities: tuple[messages.Capacity, ...],
+) -> list[str]:
+    if not capacities:
+        return []
+    out = ["Capacity of each service, now -> afterwards:"]
+    for one in capacities:
+        out.append(
+            f"  {one.service}: "
+            f"{_arrow(one.upstreams_before, one.upstreams_after)} upstreams "
+            f"in {_arrow(one.data_centres_before, one.data_centres_after)} "
+            "data centres,"
+        )
+        out.append(
+            f"    {_arrow(one.slots_before, one.slots_after)} requests at a "
+            f"time{_load(one.running)}, "
+            f"{_arrow(one.connections_before, one.connections_after)} flows"
+            f"{_load(one.open_flows)}"
+        )
+    return out
+
+
+def _arrow(before: int, after: int) -> str:
+    if before == after:
+        return str(before)
+    return f"{before} -> {after}"
+
+
+def _load(count: int) -> str:
+    if count < 0:
+        return ""
+    return f" ({count} now)"
+
+
+def _next_lines(plan: messages.Plan) -> list[str]:
+    if plan.state is messages.PlanState.OPEN:
+        until = clock(plan.expires_at)
+        return [
+            f"To do it, until {until}: ebonytally plan confirm {plan.id}",
+            f"To drop it:                   ebonytally plan discard {plan.id}",
+        ]
+    if plan.state is messages.PlanState.CONFIRMED:
+        return [f"Confirmed by {plan.closed_by}, revision {plan.revision}."]
+    return []
+
+
+def clock(wall: float) -> str:
+    """Return seconds since 1970 as a time of day in UTC."""
+    when = datetime.datetime.fromtimestamp(wall, datetime.UTC)
+    return when.strftime("%H:%M:%S UTC")
--- a/ebonytally/wire.py
+++ b/ebonytally/wire.py
@@ -55,6 +55,21 @@
     return register
 
 
+def union(alias: Any) -> None:
+    """Let fields of this union of messages carry the kind of each.
+
+    :param alias: union type of registered messages
+    """
+    _converter.register_unstructure_hook_func(
+        lambda cls: cls == alias,
+        lambda msg: (_KIND_OF[type(msg)], _converter.unstructure(msg)),
+    )
+    _converter.register_structure_hook_func(
+        lambda cls: cls == alias,
+        lambda raw, _: _converter.structure(raw[1], _KINDS[raw[0]]),
+    )
+
+
 def kind_of(msg: object) -> int:
     """Return the number under which the class of `msg` is registered."""
     return _KIND_OF[type(msg)]
