--- a/ebonytally/config.py
+++ b/ebonytally/config.py
@@ -268,7 +268,12 @@
     table = table_of(old, command.service)
     if table is None:
         return old
-    new = flow_table.placing(table, command.slots, command.seen)
+    new = flow_table.placing(
+        table,
+        command.slots,
+        command.seen,
+        old.revision + 1,
+    )
     return _with_table(old, table, new)
 
 
@@ -285,6 +290,7 @@
         command.slots,
         command.base,
         command.seen,
+        old.revision + 1,
     )
     return _with_table(old, table, new)
 
@@ -311,28 +317,16 @@
         service = service_of(cfg, name)
         upstreams = tuple(up for up in cfg.upstreams if up.service == name)
         tables[name] = flow_table.replan(
-            tables.get(name) or _empty_table(service, cfg),
+            tables.get(name),
             service,
             upstreams,
             cfg.out,
+            cfg.revision + 1,
         )
     ordered = tuple(tables[name] for name in sorted(tables))
     return attrs.evolve(cfg, tables=ordered)
 
 
-def _empty_table(service: view.Service, cfg: view.View) -> view.Table:
-    """Return the first table of a service.
-
-    Its version starts at the revision: a service that is created again
-    under the same name never has a version that it had before.
-    """
-    return view.Table(
-        service.name,
-        (0,) * service.slots,
-        version=cfg.revision + 1,
-    )
-
-
 def service_of(cfg: view.View, name: str) -> view.Service | None:
     """Return the service of that name, None if there is none."""
     for service in cfg.services:
