--- a/ebonytally/intent_http.py
+++ b/ebonytally/intent_http.py
@@ -126,7 +126,7 @@
         """
         self._server.start()
 
-    def close(self) -> None:
+    def stop(self) -> None:
         """Close the port; requests under way get a second to end."""
         self._server.stop(timeout=1.0)
 
--- /dev/null
+++ b/ebonytally/metrics.py
@@ -0,0 +1,94 @@
+"""Counters and gauges, through OpenTelemetry as Prometheus text.
+
+Counting is an increment of a plain number; OpenTelemetry reads the
+numbers when somebody asks. docs/METRICS.md is the catalogue.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from opentelemetry import metrics as api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk import resources
+import prometheus_client
+
+from ebonytally import reasons
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+_METER = "ebonytally"
+
+
+class Metrics:
+    """All counters and gauges of one daemon."""
+
+    def __init__(self, vm: str) -> None:
+        """Start with every refusal and retry at 0.
+
+        :param vm: name of this VM
+        """
+        self.refusals = {reason.value: 0 for reason in reasons.Refusal}
+        self.retries = {reason.value: 0 for reason in reasons.Retry}
+        self.counts: dict[str, int] = {}
+        self._registry = prometheus_client.CollectorRegistry()
+        prometheus_client.ProcessCollector(registry=self._registry)
+        reader = prometheus.PrometheusMetricReader(
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        self._provider = sdk.MeterProvider(
+            [reader],
+            resources.Resource({"service.name": _METER, "host.name": vm}),
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter(_METER)
+        self._counter("refusals", "refused, by reason", self.refusals)
+        self._counter("retries", "tried again, by reason", self.retries)
+        self._counter("counts", "other things counted", self.counts, "name")
+
+    def gauge(
+        self,
+        name: str,
+        description: str,
+        read: Callable[[], float],
+    ) -> None:
+        """Add a gauge that is read whenever somebody asks.
+
+        :param name: with its unit at the end
+        """
+
+        def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+            return [api.Observation(read())]
+
+        self._meter.create_observable_gauge(
+            f"{_METER}_{name}",
+            [observe],
+            description=description,
+        )
+
+    def text(self) -> bytes:
+        """Return everything in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def close(self) -> None:
+        """End the collecting."""
+        self._provider.shutdown()
+
+    def _counter(
+        self,
+        name: str,
+        description: str,
+        values: dict[str, int],
+        label: str = "reason",
+    ) -> None:
+        def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+            return [
+                api.Observation(count, {label: key})
+                for key, count in values.items()
+            ]
+
+        self._meter.create_observable_counter(
+            f"{_METER}_{name}",
+            [observe],
+            description=description,
+        )
--- /dev/null
+++ b/ebonytally/metrics_http.py
@@ -0,0 +1,74 @@
+"""Serves the metrics on the metrics port, to whoever asks."""
+
+import gevent
+from gevent import pool
+from gevent import pywsgi
+
+from ebonytally import metrics
+
+MAX_CONNECTIONS = 8
+CONNECTION_S = 5.0
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Bounds the whole life of a connection."""
+
+    def handle(self) -> None:
+        """Serve the connection, for a while at most."""
+        with gevent.Timeout(CONNECTION_S, False):
+            super().handle()
+            return
+        self.socket.close()
+
+    def log_request(self) -> None:
+        """Leave it out of the log."""
+
+
+class MetricsServer:
+    """Answers ``GET /metrics``."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        source: metrics.Metrics,
+    ) -> None:
+        """Prepare; `start` opens the port."""
+        self._source = source
+        self._server = pywsgi.WSGIServer(
+            address,
+            self._serve,
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
+            spawn=pool.Pool(MAX_CONNECTIONS),
+        )
+
+    def start(self) -> None:
+        """Open the port.
+
+        :raises OSError: when it can't be opened
+        """
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._server.stop(timeout=0.5)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return host and port that it listens on."""
+        return (self._server.server_host, self._server.server_port)
+
+    def _serve(self, environ: dict, start_response) -> list[bytes]:
+        known = environ["PATH_INFO"] == "/metrics"
+        if environ["REQUEST_METHOD"] != "GET" or not known:
+            start_response("404 Not Found", [("Connection", "close")])
+            return [b""]
+        data = self._source.text()
+        headers = [
+            ("Content-Type", metrics.CONTENT_TYPE),
+            ("Content-Length", str(len(data))),
+            ("Connection", "close"),
+        ]
+        start_response("200 OK", headers)
+        return [data]
--- a/tests/test_intents_http.py
+++ b/tests/test_intents_http.py
@@ -18,7 +18,7 @@
     made = fakes.FakeNode()
     made.server.start()
     yield made
-    made.server.close()
+    made.server.stop()
 
 
 def _call(node, method, path, body=None, token="mair-token", raw=None):
--- /dev/null
+++ b/tests/test_recorder_live.py
@@ -0,0 +1,77 @@
+"""Tests of the log lines and the metrics of a running daemon."""
+
+import contextlib
+import io
+import json
+
+from geventhttpclient import HTTPClient
+import pytest
+
+from ebonytally import events
+from ebonytally import live_recorder
+from ebonytally import reasons
+from ebonytally import settings
+
+_CFG = settings.Settings(
+    name="north-1",
+    address="127.0.0.1",
+    data_centre="north",
+    region="west",
+    cluster_key="ab" * 32,
+    data_folder="data",
+    seeds=(),
+    ports=settings.Ports(metrics=0),
+)
+
+
+def _lines(out: io.StringIO) -> list[dict]:
+    return [json.loads(line) for line in out.getvalue().splitlines()]
+
+
+def test_each_event_is_one_json_line_by_number():
+    out = io.StringIO()
+    with contextlib.ExitStack() as stack:
+        live = live_recorder.LiveRecorder(_CFG, stack, out)
+        live.event(events.Event.STARTED, revision=7, detail="x\n" * 900)
+        live.event(events.Event.TASK_FAILED, error=ValueError("no"))
+    first, second = _lines(out)
+    assert list(first)[:4] == ["time", "number", "name", "vm"]
+    assert (first["number"], first["name"]) == (100, "started")
+    assert (first["vm"], first["revision"]) == ("north-1", 7)
+    assert len(first["detail"]) == 500
+    assert second["error"] == "no"
+
+
+def test_flood_of_refusals_is_cut_and_counted():
+    limit = live_recorder.EventLimit()
+    refused = events.Event.PACKET_REFUSED
+    passed = [limit.passes(refused, 5.0) for _ in range(100)]
+    assert sum(passed) == live_recorder.MAX_PER_SECOND
+    assert limit.passes(refused, 6.0)
+    assert limit.take_suppressed(refused) == 80
+    confirmed = events.Event.PLAN_CONFIRMED
+    assert all(limit.passes(confirmed, 6.0) for _ in range(100))
+
+
+@pytest.mark.parametrize("path", ["/metrics", "/other"])
+def test_every_reason_has_a_counter_from_the_start(path):
+    with contextlib.ExitStack() as stack:
+        live = live_recorder.LiveRecorder(_CFG, stack, io.StringIO())
+        live.refused(reasons.Refusal.PLAN_EXPIRED)
+        live.counted("storage_tail_cut", 3)
+        client = HTTPClient(*live.server.address, network_timeout=5)
+        response = client.get(path)
+        text = response.read().decode()
+        client.close()
+    if path != "/metrics":
+        assert response.status_code == 404
+        return
+    for reason in reasons.Refusal:
+        count = int(reason is reasons.Refusal.PLAN_EXPIRED)
+        line = f'ebonytally_refusals_total{{reason="{reason.value}"}} {count}'
+        assert line in text
+    for reason in reasons.Retry:
+        line = f'ebonytally_retries_total{{reason="{reason.value}"}} 0'
+        assert line in text
+    assert 'ebonytally_counts_total{name="storage_tail_cut"} 3' in text
+    assert "process_resident_memory_bytes" in text
