--- a/ebonytally/metrics.py
+++ b/ebonytally/metrics.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from opentelemetry import metrics as api
 from opentelemetry.exporter import prometheus
+import opentelemetry.metrics as api
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk import resources
 import prometheus_client
