Add the command line of the daemon and of operators

Intents carry an id that is printed when no answer came; several entry VMs are asked in order. Exit status 0 done, 1 refused, 2 bad usage or settings.

--- /dev/null
+++ b/ebonytally/cli_help.py
@@ -0,0 +1,127 @@
+"""Help pages of the command line, a screen each at most."""
+
+_OPERATORS = """
+Options of all commands that talk to the system:
+  --at HOST[:PORT],...   entry VMs to ask, tried in order
+                         (else the variable EBONYTALLY_ADDRESS)
+  --token TOKEN          your operator's token
+                         (else the variable EBONYTALLY_TOKEN)
+  --json                 answer in JSON
+Exit status: 0 done, 1 refused, 2 bad usage or settings.
+"""
+
+_INTENT = """
+Nothing changes yet: the answer is a plan. Read it, then
+  ebonytally plan confirm ID
+  --id ID                your own id for this intent; if no answer came,
+                         run it again with the same id: it is done once
+"""
+
+_TOP = """
+ebonytally: load balancer. On duty? Start with: ebonytally status
+
+What an operator does:
+  status                     how things stand and what to do next
+  datacentre out NAME        plan to take a data centre out
+  datacentre back NAME       plan to bring it back
+  service create|change|remove|list
+  vm add|replace|retire      entry and control VMs
+  plan list|show|confirm|discard
+What a machine runs:
+  run SETTINGS               run the daemon until SIGTERM
+  check SETTINGS             list every fault of a settings file
+  version
+Each has a page of its own: ebonytally datacentre --help
+"""
+
+_PAGES = {
+    "": _TOP + _OPERATORS,
+    "status": """
+ebonytally status
+
+Tells in ten lines what works, what doesn't, which VMs aren't heard from,
+which plans are open and what to do next. Changes nothing. Ask a second VM
+(--at) when the first says that it is cut off.
+"""
+    + _OPERATORS,
+    "datacentre": """
+ebonytally datacentre out NAME     take a data centre out
+ebonytally datacentre back NAME    bring it back
+
+"out": no packet and no request goes to its upstreams any more, a few
+seconds after the plan is confirmed. Flows that are open there end.
+"back": new flows and requests go there again, step by step.
+"""
+    + _INTENT
+    + _OPERATORS,
+    "service": """
+ebonytally service list
+ebonytally service create NAME --address IP --port N
+    --data-centres A,B,...  [--protocol tcp|udp] [--max-connections N]
+    [--max-queue N] [--max-request-bytes N] [--slots N]
+ebonytally service change NAME [--data-centres A,B,...]
+    [--max-connections N] [--max-queue N] [--max-request-bytes N]
+ebonytally service remove NAME
+
+--address, --port      where callers reach the service
+--data-centres         all data centres that serve it
+--max-connections      open flows for each upstream (2000)
+--max-queue            requests that may wait at each entry VM (64)
+--max-request-bytes    largest request (4194304)
+--slots                slots of its table, a power of two, for life (1024)
+"""
+    + _INTENT
+    + _OPERATORS,
+    "vm": """
+ebonytally vm add NAME --address IP --data-centre D --region R [--control]
+ebonytally vm replace NAME --address IP
+ebonytally vm retire NAME
+
+"add" admits a new entry VM, with --control one that votes too.
+"replace" lets another machine take the place of a lost one; never switch
+the lost one on again. "retire" removes a VM for good.
+"""
+    + _INTENT
+    + _OPERATORS,
+    "plan": """
+ebonytally plan list          open plans
+ebonytally plan show ID       what it would change
+ebonytally plan confirm ID    put it in force
+ebonytally plan discard ID    drop it
+
+A plan is refused when the configuration has changed since it was made;
+a fresh one is shown instead. Read that one before you confirm it.
+  --id ID                your own id; the same id is answered the same
+"""
+    + _OPERATORS,
+    "run": """
+ebonytally run SETTINGS
+
+Runs the daemon of the settings file until SIGTERM, which ends it without
+cutting a request. A second SIGTERM ends it at once. The log goes to
+standard output, a JSON line for each event.
+Exit status: 0 stopped, 1 failed, 2 bad settings.
+""",
+    "check": """
+ebonytally check SETTINGS
+
+Lists every fault of the settings file, a line each. Starts nothing.
+Exit status: 0 no fault, 2 faults.
+""",
+    "version": """
+ebonytally version
+
+Shows the version.
+""",
+}
+
+
+def page(words: list[str]) -> str:
+    """Return the help page for the command in `words`."""
+    topic = words[0] if words else ""
+    return _PAGES.get(topic, _PAGES[""]).strip("\n")
+
+
+def is_topic(word: str) -> bool:
+    """Tell whether a command of that name exists."""
+    return bool(word) and word in _PAGES
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,169 @@
+"""Tests of the command line: exit status, faults, and whole tours."""
+
+import json
+import pathlib
+
+import gevent
+from gevent import threadpool
+import pytest
+
+from ebonytally import cli
+from ebonytally import settings
+from tests import intent_fakes as fakes
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_EXAMPLES = sorted(_ROOT.glob("examples/*/*.json"))
+_CREATE = [
+    "service",
+    "create",
+    "cutting-desk",
+    "--address=10.9.0.1",
+    "--port=80",
+    "--data-centres=north,south",
+]
+
+
+@pytest.fixture(autouse=True)
+def _no_variables(monkeypatch):
+    monkeypatch.delenv("EBONYTALLY_ADDRESS", raising=False)
+    monkeypatch.delenv("EBONYTALLY_TOKEN", raising=False)
+
+
+@pytest.fixture
+def node(monkeypatch):
+    """Return a node whose operators' port the command line asks."""
+    made = fakes.FakeNode()
+    made.server.start()
+    host, port = made.server.address
+    monkeypatch.setenv("EBONYTALLY_ADDRESS", f"{host}:{port}")
+    monkeypatch.setenv("EBONYTALLY_TOKEN", "mair-token")
+    yield made
+    made.server.stop()
+
+
+def _run(*words: str) -> int:
+    """Run a command in a thread, while the node serves in this one."""
+    pool = threadpool.ThreadPool(1)
+    try:
+        with gevent.Timeout(20):
+            return pool.spawn(cli.run, list(words)).get()
+    finally:
+        pool.kill()
+
+
+def _said(capsys, *words: str) -> dict:
+    capsys.readouterr()
+    assert _run(*words, "--json") == 0
+    return json.loads(capsys.readouterr().out)
+
+
+@pytest.mark.parametrize("path", _EXAMPLES, ids=lambda path: path.stem)
+def test_each_example_loads(path, tmp_path):
+    raw = json.loads(path.read_text())
+    raw["data_folder"] = str(tmp_path)
+    copy = tmp_path / path.name
+    copy.write_text(json.dumps(raw))
+    cfg = settings.load(str(copy))
+    assert len(cfg.seeds) == 5
+    assert len({seed.data_centre for seed in cfg.seeds}) == 4
+    assert sum(seed.control for seed in cfg.seeds) == 3
+    assert cfg.operators
+
+
+def test_there_are_examples_of_both_customers():
+    assert len(_EXAMPLES) == 10
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "frob",
+        "datacentre",
+        "datacentre out",
+        "datacentre out north south",
+        "datacentre out north --colour red",
+        "service create x --address 1.2.3.4 --port x --data-centres a",
+        "vm add x --address 1.2.3.4 --data-centre a --region b --control 3",
+        "plan confirm a/b",
+        "plan show ../status",
+        "status",
+        "status --at",
+        "check",
+        "check nowhere.json",
+        "run nowhere.json",
+    ],
+)
+def test_bad_usage_and_bad_settings_exit_with_2(text):
+    assert cli.run(text.split()) == 2
+
+
+@pytest.mark.parametrize("topic", ["", "datacentre", "plan confirm", "vm"])
+def test_help_is_one_plain_page(topic, capsys):
+    assert cli.run([*topic.split(), "--help"]) == 0
+    page = capsys.readouterr().out
+    assert 5 < len(page.splitlines()) <= 40
+    assert all(len(line) <= 79 for line in page.splitlines())
+    assert "Exit status" in page
+
+
+def test_check_lists_every_fault(tmp_path, capsys):
+    path = tmp_path / "vm.json"
+    path.write_text('{"name": 3, "colour": 1, "seeds": []}')
+    assert cli.run(["check", str(path)]) == 2
+    faults = capsys.readouterr().out.splitlines()
+    assert len(faults) >= 7
+    assert all(fault.startswith("vm.json: ") for fault in faults)
+    assert cli.run(["check", str(path), "--json"]) == 2
+    assert json.loads(capsys.readouterr().out)["ok"] is False
+
+
+def test_version_is_said_plainly_and_in_json(capsys):
+    assert cli.run(["version"]) == 0
+    plain = capsys.readouterr().out.strip()
+    assert cli.run(["version", "--json"]) == 0
+    assert json.loads(capsys.readouterr().out) == {"version": plain}
+
+
+def test_tour_from_service_to_data_centre_out_and_back(node, capsys):
+    plan = _said(capsys, *_CREATE)["plan"]["id"]
+    assert _run("plan", "confirm", plan) == 0
+    assert "in force as revision 2" in capsys.readouterr().out
+    for verb, out in (("out", ("north",)), ("back", ())):
+        plan = _said(capsys, "datacentre", verb, "north")["plan"]["id"]
+        assert _run("plan", "show", plan) == 0
+        assert f"plan confirm {plan}" in capsys.readouterr().out
+        assert _run("plan", "confirm", plan) == 0
+        assert node.view().out == out
+    capsys.readouterr()
+    assert _run("status") == 0
+    assert len(capsys.readouterr().out.splitlines()) == 10
+    assert _run("service", "list") == 0
+    assert "cutting-desk: 10.9.0.1:80 tcp" in capsys.readouterr().out
+
+
+def test_refusals_exit_with_1_and_say_why(node, capsys):
+    assert _run("datacentre", "out", "nowhere") == 1
+    assert "no data centre nowhere" in capsys.readouterr().err
+    assert _run("plan", "confirm", "1-abcd") == 1
+    assert _run("status", "--token", "wrong") == 1
+    assert "token" in capsys.readouterr().err
+
+
+def test_confirming_again_is_answered_the_same(node, capsys):
+    plan = _said(capsys, *_CREATE)["plan"]["id"]
+    first = _said(capsys, "plan", "confirm", plan)
+    assert _said(capsys, "plan", "confirm", plan) == first
+    assert node.view().revision == 2
+
+
+def test_next_vm_is_asked_when_the_first_is_gone(node, capsys):
+    address = "127.0.0.1:1,{}:{}".format(*node.server.address)
+    assert _run("status", "--at", address) == 0
+    assert "127.0.0.1:1: no answer" in capsys.readouterr().err
+
+
+def test_id_to_resend_is_told_when_nobody_answers(capsys):
+    words = [*_CREATE, "--at", "127.0.0.1:1", "--token", "x", "--id", "m7"]
+    assert cli.run(words) == 1
+    assert "--id m7" in capsys.readouterr().err
