Repair a control VM, form voters anew, change voters under test

A damaged folder, a lost disk and the loss of a majority had no way out. `recovery.repair` puts the files aside under a fresh identity, so the VM comes back as a learner and fetches everything; `recovery.form_anew` makes one surviving copy the only voter of a new generation, keeps every entry of it and says what it may lack. VMs of an older generation take no part, durably, until they are repaired.

--- a/ebonytally/agreement.py
+++ b/ebonytally/agreement.py
@@ -57,6 +57,7 @@
         self._state = agreement_state.State(
             cfg=cfg.limits,
             me=me,
+            control=cfg.control,
             genesis=tuple(sorted(voters)),
             storage=storage,
             machine=machine,
@@ -113,6 +114,14 @@
         voters = self._state.voters
         return voters.voters if voters else ()
 
+    @property
+    def generation(self) -> int:
+        """Return how often voters were formed anew, from 1; 0 for never.
+
+        State of a higher generation goes before any of a lower one.
+        """
+        return self._state.generation
+
     @property
     def superseded(self) -> bool:
         """Return whether the voters were formed anew without this VM."""
--- a/ebonytally/agreement_election.py
+++ b/ebonytally/agreement_election.py
@@ -110,6 +110,8 @@
         return state.voting.get(state.me) == state.identity
 
     def _say_hello(self) -> None:
+        if not self._state.control:
+            return
         hello = messages.Hello(self._state.identity)
         names = set(self._state.genesis) | set(self._state.peers)
         for peer in sorted(names - {self._state.me}):
--- a/ebonytally/agreement_replication.py
+++ b/ebonytally/agreement_replication.py
@@ -104,6 +104,8 @@
     def tick(self, now: float) -> None:
         """Send what is due; step down without a quorum."""
         state = self._state
+        if not state.is_leader:
+            return
         wait = CHECK_QUORUM_TIMEOUTS * state.cfg.election_s
         if now - self._quorum_acked_at(now) > wait:
             state.follow(state.term, "")
--- a/ebonytally/agreement_state.py
+++ b/ebonytally/agreement_state.py
@@ -31,6 +31,7 @@
 class State:
     """Role, log and voter list of one control VM.
 
+    :param control: this VM is to have a vote
     :param genesis: names that form the first voter list
     :param voter_sets: voter lists in the log, with their indexes
     :param leader_heard_at: seconds, when a leader was last heard
@@ -41,6 +42,7 @@
 
     cfg: settings.Control
     me: str
+    control: bool
     genesis: tuple[str, ...]
     storage: log_storage.LogStorage
     machine: ports.StateMachine
@@ -188,14 +190,7 @@
 
     def load_voters(self) -> None:
         """Read the voter lists from snapshot and log again."""
-        self.voter_sets.clear()
-        snapshot = self.storage.snapshot
-        first = self.storage.first_index
-        if snapshot is not None and snapshot.voters is not None:
-            self.voter_sets.append((snapshot.index, snapshot.voters))
-            first = snapshot.index + 1
-        for index in range(first, self.storage.last_index + 1):
-            self._use_voters(self.storage.entry(index))
+        self.voter_sets = read_voter_sets(self.storage)
 
     def refuse(self, reason: reasons.Refusal) -> None:
         """Count a refusal."""
@@ -215,6 +210,23 @@
         )
 
 
+def read_voter_sets(
+    storage: log_storage.LogStorage,
+) -> list[tuple[int, messages.VotersSet]]:
+    """Return the voter lists of snapshot and log with their indexes."""
+    found = []
+    snapshot = storage.snapshot
+    first = storage.first_index
+    if snapshot is not None and snapshot.voters is not None:
+        found.append((snapshot.index, snapshot.voters))
+        first = snapshot.index + 1
+    for index in range(first, storage.last_index + 1):
+        command = storage.entry(index).command
+        if is_voters(command):
+            found.append((index, wire.unpack_message(command)))
+    return found
+
+
 def is_voters(command: bytes) -> bool:
     """Return whether a packed command is a voter list."""
     return command[:2] == bytes((0x92, _VOTERS_KIND))
--- a/ebonytally/agreement_voters.py
+++ b/ebonytally/agreement_voters.py
@@ -47,6 +47,8 @@
             return
         change = self._next(now)
         if change is None:
+            if self._must_leave():
+                self._replication.transfer(now)
             return
         voters = messages.VotersSet(state.generation, change)
         state.append_own("", wire.pack_message(voters))
@@ -117,14 +119,19 @@
     def _removed(self) -> tuple[messages.Voter, ...] | None:
         if not self._wanted:
             return None
-        unwanted = [v for v in self._list() if v.name not in self._wanted]
-        # The leader goes last, and hands over first.
-        unwanted.sort(key=lambda voter: voter.name == self._state.me)
-        for voter in unwanted:
-            if voter.name != self._state.me:
-                return tuple(v for v in self._list() if v != voter)
+        for voter in self._list():
+            if voter.name in self._wanted or voter.name == self._state.me:
+                continue
+            return tuple(v for v in self._list() if v != voter)
         return None
 
+    def _must_leave(self) -> bool:
+        """Return whether this VM is the only one not wanted."""
+        if not self._wanted or self._state.me in self._wanted:
+            return False
+        names = {voter.name for voter in self._list()}
+        return self._wanted <= names
+
     def _with(
         self,
         old: messages.Voter,
--- a/ebonytally/log_storage.py
+++ b/ebonytally/log_storage.py
@@ -86,6 +86,16 @@
     return [name for name in disk.names() if name.startswith(_SEGMENT_PREFIX)]
 
 
+def renew_identity(disk: ports.Disk, rng: random.Random) -> None:
+    """Give a data folder a fresh identity, which has no vote."""
+    vote = Vote(0, "", _identity(rng))
+    disk.replace(VOTE_FILE, _seal(wire.pack(vote)))
+
+
+def _identity(rng: random.Random) -> str:
+    return f"{rng.getrandbits(64):016x}"
+
+
 def _seal(body: bytes) -> bytes:
     head = _WHOLE_HEAD.pack(_WHOLE_MAGIC, FORMAT_VERSION, zlib.crc32(body))
     return head + body
@@ -333,7 +343,7 @@
             return wire.unpack(_unseal(VOTE_FILE, data), Vote)
         if self.snapshot is not None or self._entries:
             raise errors.DamagedLogError("open storage", VOTE_FILE, "missing")
-        vote = Vote(0, "", f"{rng.getrandbits(64):016x}")
+        vote = Vote(0, "", _identity(rng))
         self.save_vote(vote)
         return vote
 
--- /dev/null
+++ b/ebonytally/recovery.py
@@ -0,0 +1,182 @@
+"""Repair of one control VM, and forming voters anew from one copy.
+
+Both work on the data folder of a stopped daemon and are started by an
+operator. Neither drops an accepted change silently: a repaired VM
+fetches everything from its peers, and forming voters anew keeps every
+entry of the copy and says what the copy may lack.
+"""
+
+import random
+
+import attrs
+
+from ebonytally import agreement_messages as messages
+from ebonytally import agreement_state
+from ebonytally import errors
+from ebonytally import events
+from ebonytally import log_storage
+from ebonytally import ports
+from ebonytally import recorder as recorder_lib
+from ebonytally import wire
+
+_ASIDE_PREFIX = "damaged-"
+
+
+@attrs.frozen
+class Copy:
+    """What one data folder holds.
+
+    :param last_index: highest entry of the log
+    :param committed: highest entry that it knows to be committed
+    :param superseded: voters were formed anew elsewhere
+    """
+
+    identity: str
+    term: int
+    generation: int
+    last_term: int
+    last_index: int
+    committed: int
+    voters: tuple[messages.Voter, ...]
+    superseded: bool
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Return what tells the more complete of two copies."""
+        return (self.generation, self.last_term, self.last_index)
+
+
+@attrs.frozen
+class Formed:
+    """Voters formed anew, with what an operator has to know.
+
+    :param missing: sentences on what the copy may lack
+    """
+
+    copy: Copy
+    generation: int
+    missing: tuple[str, ...]
+
+
+def inspect(disk: ports.Disk, recorder: recorder_lib.Recorder) -> Copy:
+    """Return what a data folder holds, to choose among copies.
+
+    Opening a folder cuts a torn tail, as a start of the daemon does.
+
+    :raises DamagedLogError: when it needs a repair
+    """
+    return _copy(_open(disk, recorder))
+
+
+def repair(
+    disk: ports.Disk,
+    recorder: recorder_lib.Recorder,
+    seed: int,
+) -> tuple[str, ...]:
+    """Empty a data folder, so that its VM fetches all from its peers.
+
+    The VM gets a fresh identity first: it has no vote until the leader
+    has made it a learner and it has caught up. The old files stay
+    beside under ``damaged-`` names.
+
+    :param seed: for the fresh identity, different at each repair
+    :returns: names of the files put aside
+    """
+    names = [log_storage.VOTE_FILE, log_storage.SNAPSHOT_FILE]
+    names += log_storage.segment_names(disk)
+    aside = []
+    for name in names:
+        data = disk.read(name)
+        if data is not None:
+            disk.replace(_ASIDE_PREFIX + name, data)
+            aside.append(_ASIDE_PREFIX + name)
+    log_storage.renew_identity(disk, random.Random(seed))
+    for name in reversed(names[1:]):
+        disk.remove(name)
+    recorder.event(events.Event.STORAGE_REPAIRED, aside=aside)
+    return tuple(aside)
+
+
+def form_anew(
+    disk: ports.Disk,
+    me: str,
+    recorder: recorder_lib.Recorder,
+) -> Formed:
+    """Make this data folder the only voter of a new generation.
+
+    For the loss of a majority of the control VMs. VMs of the old
+    generation that come back take no part and say so, until they are
+    repaired. All entries of the copy stay.
+
+    :raises StorageError: when the copy can't serve, or the disk refuses
+    """
+    storage = _open(disk, recorder)
+    copy = _copy(storage)
+    if copy.superseded:
+        detail = "voters were formed anew elsewhere, take that copy"
+        raise errors.StorageError("form voters anew", me, detail)
+    if not copy.voters:
+        detail = "the copy is empty, it never had a voter list"
+        raise errors.StorageError("form voters anew", me, detail)
+    generation = copy.generation + 1
+    term = max(copy.term, copy.last_term) + 1
+    vote = attrs.evolve(storage.vote, term=term, voted_for=me)
+    storage.save_vote(vote)
+    only = messages.Voter(me, copy.identity, True)
+    command = wire.pack_message(messages.VotersSet(generation, (only,)))
+    entry = messages.Entry(copy.last_index + 1, term, "", command)
+    storage.append((entry,))
+    missing = _missing(copy)
+    recorder.event(
+        events.Event.VOTERS_FORMED_ANEW,
+        generation=generation,
+        kept_to=copy.last_index,
+        missing=list(missing),
+    )
+    return Formed(copy, generation, missing)
+
+
+def _open(
+    disk: ports.Disk,
+    recorder: recorder_lib.Recorder,
+) -> log_storage.LogStorage:
+    if disk.read(log_storage.VOTE_FILE) is None:
+        detail = "no data of a control VM is here"
+        raise errors.StorageError("open storage", "", detail)
+    return log_storage.LogStorage(disk, recorder, random.Random(0))
+
+
+def _copy(storage: log_storage.LogStorage) -> Copy:
+    voters = agreement_state.read_voter_sets(storage)
+    newest = voters[-1][1] if voters else messages.VotersSet(0, ())
+    return Copy(
+        storage.vote.identity,
+        storage.vote.term,
+        newest.generation,
+        storage.last_term,
+        storage.last_index,
+        storage.commit,
+        newest.voters,
+        storage.vote.superseded,
+    )
+
+
+def _missing(copy: Copy) -> tuple[str, ...]:
+    lines = [
+        f"changes accepted after entry {copy.last_index} of term "
+        f"{copy.last_term} are not in this copy; a change whose answer an "
+        "operator has but that is not shown now must be stated again",
+    ]
+    open_entries = copy.last_index - copy.committed
+    if open_entries:
+        lines.append(
+            f"{open_entries} entries after {copy.committed} were not known "
+            "to be accepted here; they are kept and take effect now"
+        )
+    lost = [v.name for v in copy.voters if v.identity != copy.identity]
+    if lost:
+        lines.append(
+            "these control VMs have no vote until they are repaired: "
+            + ", ".join(lost)
+        )
+    return tuple(lines)
--- a/tests/agreement_fakes.py
+++ b/tests/agreement_fakes.py
@@ -22,6 +22,10 @@
     value: str
 
 
+class PowerLostError(Exception):
+    """The machine stops in the middle of a call."""
+
+
 class Disk:
     """Files in memory; what isn't synced is lost in a crash."""
 
@@ -30,8 +34,13 @@
         self.files: dict[str, bytes] = {}
         self.full = False
         self.lying = False
+        self.fuse = None
 
     def _check(self, step):
+        if self.fuse is not None:
+            self.fuse -= 1
+            if self.fuse < 0:
+                raise PowerLostError
         if self.full:
             raise errors.StorageError(step, "disk", "no space left")
 
@@ -39,7 +48,7 @@
         return self.files.get(name)
 
     def append(self, name, data):
-        if self.full:
+        if self.full or self.fuse == 0:
             half = data[: len(data) // 2]
             self.files[name] = self.files.get(name, b"") + half
         self._check("append")
@@ -57,10 +66,14 @@
             self.durable[name] = data
 
     def truncate(self, name, size):
+        if self.fuse is not None:
+            self._check("truncate")
         self.files[name] = self.files[name][:size]
         self.durable[name] = self.files[name]
 
     def remove(self, name):
+        if self.fuse is not None:
+            self._check("remove")
         self.files.pop(name, None)
         self.durable.pop(name, None)
 
@@ -69,6 +82,7 @@
 
     def crash(self, rng=None):
         """Lose what isn't synced, but for a torn beginning of it."""
+        self.fuse = None
         kept = dict(self.durable)
         for name, data in self.files.items():
             old = kept.get(name, b"")
@@ -200,14 +214,23 @@
             self.deliver(peer, frame)
         self.now = end
         for name in sorted(self.nodes):
-            self.do(name, self.nodes[name].tick(self.now))
+            self.call(name, lambda node: node.tick(self.now))
 
     def deliver(self, peer, frame):
         """Hand a frame to its VM unless the way is cut."""
         sender, msg = wire.decode(KEY, frame)
         if (sender, peer) in self.cuts or peer not in self.nodes:
             return
-        self.do(peer, self.nodes[peer].handle(sender, msg, self.now))
+        self.call(peer, lambda node: node.handle(sender, msg, self.now))
+
+    def call(self, name, step):
+        """Call a node; it is gone when its power goes in the midst."""
+        try:
+            acts = step(self.nodes[name])
+        except PowerLostError:
+            self.crash(name)
+            return
+        self.do(name, acts)
 
     def run(self, seconds):
         """Let some seconds pass."""
@@ -237,8 +260,8 @@
 
     def propose(self, name, token, value):
         """Propose a value at a VM."""
-        acts = self.nodes[name].propose(token, Put(value), self.now)
-        self.do(name, acts)
+        command = Put(value)
+        self.call(name, lambda node: node.propose(token, command, self.now))
 
     def put(self, token, value):
         """Propose at the leader and wait until it is applied there."""
--- /dev/null
+++ b/tests/test_agreement_faults.py
@@ -0,0 +1,158 @@
+"""Agreement under faults: a random search over the real objects."""
+
+import os
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests import agreement_fakes as fakes
+
+SEEDS = int(os.environ.get("EBONYTALLY_SEEDS", "0"))
+NAMES = ("a", "b", "c")
+NAME = st.sampled_from(NAMES)
+
+
+class FaultMachine(stateful.RuleBasedStateMachine):
+    """Proposals through crashes, cuts, lost disks and a bad network."""
+
+    @stateful.initialize(seed=st.integers(0, 10_000))
+    def begin(self, seed):
+        self.cluster = fakes.Cluster(NAMES, seed)
+        self.history = []
+        self.accepted = set()
+        self.count = 0
+
+    @stateful.rule(steps=st.integers(1, 60))
+    def run_on(self, steps):
+        for _ in range(steps):
+            self.cluster.step()
+            self.check()
+
+    @stateful.rule(name=NAME, count=st.integers(1, 4), again=st.booleans())
+    def propose(self, name, count, again):
+        if name not in self.cluster.nodes:
+            return
+        for _ in range(count):
+            self.count += not again
+            value = f"v{self.count}"
+            self.cluster.propose(name, f"t{self.count}", value)
+        self.cluster.step()
+        self.check()
+
+    @stateful.rule(one=NAME, other=NAME, both=st.booleans())
+    def cut(self, one, other, both):
+        self.cluster.cuts.add((one, other))
+        if both:
+            self.cluster.cuts.add((other, one))
+
+    @stateful.rule()
+    def heal(self):
+        self.cluster.cuts.clear()
+
+    @stateful.rule(name=NAME, seconds=st.integers(2, 10))
+    def isolate_for_long(self, name, seconds):
+        self.cluster.isolate(name)
+        self.run_on(seconds * 50)
+        self.cluster.cuts.clear()
+
+    @stateful.rule(
+        loss=st.sampled_from([0, 0, 0.1, 0.4]),
+        duplicate=st.sampled_from([0, 0.3]),
+        jitter_s=st.sampled_from([0, 0.05, 0.6]),
+    )
+    def network(self, loss, duplicate, jitter_s):
+        self.cluster.loss = loss
+        self.cluster.duplicate = duplicate
+        self.cluster.jitter_s = jitter_s
+
+    @stateful.rule(name=NAME, fuse=st.integers(0, 6), now=st.booleans())
+    def crash(self, name, fuse, now):
+        if name not in self.cluster.nodes:
+            return
+        if now:
+            self.cluster.crash(name)
+        else:
+            self.cluster.disks[name].fuse = fuse
+
+    @stateful.rule(name=NAME)
+    def restart(self, name):
+        if name in self.cluster.nodes:
+            self.cluster.crash(name)
+        self.cluster.start(name)
+        self.check()
+
+    @stateful.rule(name=NAME)
+    def wipe(self, name):
+        if not self.may_wipe(name):
+            return
+        self.cluster.start(name, disk=fakes.Disk())
+
+    @stateful.rule(name=NAME, full=st.booleans())
+    def disk_full(self, name, full):
+        self.cluster.disks[name].full = full
+
+    def may_wipe(self, name):
+        """Whether a majority of each voter list keeps its disk.
+
+        VMs that are down may hold any list, so all must be up.
+        """
+        nodes = self.cluster.nodes
+        if len(nodes) < len(NAMES):
+            return False
+        here = {n: node._state.identity for n, node in nodes.items()}
+        del here[name]
+        for node in nodes.values():
+            for _, voters in node._state.voter_sets:
+                voting = [v for v in voters.voters if v.voting]
+                kept = [v for v in voting if here.get(v.name) == v.identity]
+                if 2 * len(kept) <= len(voting):
+                    return False
+        return True
+
+    def check(self):
+        """What must hold at every moment."""
+        cluster = self.cluster
+        for machine in cluster.machines.values():
+            values = machine.values
+            common = min(len(values), len(self.history))
+            assert values[:common] == self.history[:common]
+            self.history += values[common:]
+        assert len(set(self.history)) == len(self.history)
+        for token, decided in list(cluster.decided.items()):
+            if decided.ok:
+                self.accepted.add("v" + token[1:])
+        assert self.accepted <= set(self.history)
+        for name, node in cluster.nodes.items():
+            if node.may_read(cluster.now):
+                assert self.accepted <= set(cluster.machines[name].values)
+
+    def teardown(self):
+        """All come back: everything accepted is in force everywhere."""
+        if not hasattr(self, "cluster"):
+            return
+        cluster = self.cluster
+        cluster.cuts.clear()
+        cluster.loss = cluster.duplicate = cluster.jitter_s = 0.0
+        for name in NAMES:
+            cluster.disks[name].full = False
+            cluster.disks[name].fuse = None
+            if name not in cluster.nodes:
+                cluster.start(name)
+        self.run_on(50 * 12)
+        assert cluster.put("tlast", "vlast").ok
+        self.run_on(50)
+        for name in NAMES:
+            assert cluster.machines[name].values == self.history
+        voting = [v.name for v in cluster.nodes["a"].voters if v.voting]
+        assert voting == list(NAMES)
+
+
+TestFaults = FaultMachine.TestCase
+TestFaults.settings = settings(
+    max_examples=25 + SEEDS * 40,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=not SEEDS,
+    database=None,
+)
--- /dev/null
+++ b/tests/test_agreement_voters.py
@@ -0,0 +1,162 @@
+"""Voter changes, lost disks, repair and voters formed anew."""
+
+import pytest
+
+from ebonytally import errors
+from ebonytally import events
+from ebonytally import recorder
+from ebonytally import recovery
+from tests import agreement_fakes as fakes
+
+NAMES = ("a", "b", "c")
+
+
+def _others(cluster, name):
+    return [other for other in cluster.nodes if other != name]
+
+
+def _voting(node):
+    return [voter.name for voter in node.voters if voter.voting]
+
+
+def _want(cluster, names):
+    for node in cluster.nodes.values():
+        node.want_voters(names)
+
+
+def _fill(cluster, start, count):
+    for number in range(start, start + count):
+        assert cluster.put(f"t{number}", f"v{number}").ok
+
+
+def test_new_vm_is_learner_first_and_old_one_leaves():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 60)
+    cluster.start("d")
+    wanted = ("b", "c", "d")
+    seen = set()
+
+    def changed():
+        _want(cluster, wanted)
+        for node in cluster.nodes.values():
+            seen.add(tuple((v.name, v.voting) for v in node.voters))
+        return all(
+            _voting(cluster.nodes[name]) == list(wanted) for name in wanted
+        )
+
+    cluster.run_until(changed)
+    assert any(("d", False) in voters for voters in seen)
+    sizes = {sum(voting for _, voting in voters) for voters in seen}
+    assert sizes <= {0, 3, 4}
+    assert cluster.machines["d"].values == cluster.machines["b"].values
+
+
+def test_vm_with_an_empty_disk_has_no_vote_under_its_old_name():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 5)
+    leader = cluster.elect()
+    wiped, behind = _others(cluster, leader)
+    cluster.isolate(behind)
+    _fill(cluster, 5, 5)
+    # Only leader and `wiped` had the last five; both go, one for good.
+    cluster.crash(leader)
+    cluster.cuts.clear()
+    cluster.start(wiped, disk=fakes.Disk())
+    cluster.run(15.0)
+    assert cluster.leader is None
+    cluster.start(leader)
+    cluster.run_until(lambda: len(_voting(cluster.nodes[leader])) == 3)
+    cluster.run(8.0)
+    for machine in cluster.machines.values():
+        assert machine.values == [f"v{n}" for n in range(10)]
+
+
+def test_lost_disk_comes_back_as_voter_by_itself():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 60)
+    leader = cluster.elect()
+    wiped, third = _others(cluster, leader)
+    old = {v.name: v.identity for v in cluster.nodes[leader].voters}
+    cluster.start(wiped, disk=fakes.Disk())
+
+    def back():
+        voters = cluster.nodes[leader].voters
+        fresh = [v for v in voters if v.identity != old[v.name]]
+        return fresh and fresh[0].voting
+
+    cluster.run_until(back)
+    # A second VM lost right after the repair.
+    cluster.crash(third)
+    _fill(cluster, 60, 5)
+    assert len(cluster.machines[wiped].values) >= 64
+
+
+def test_disk_lost_at_first_boot_forms_no_second_history():
+    cluster = fakes.Cluster(NAMES)
+    cluster.run_until(lambda: any(n.is_leader for n in cluster.nodes.values()))
+    cluster.start("c", disk=fakes.Disk())
+    cluster.start("b", disk=fakes.Disk())
+    cluster.run(20.0)
+    heads = {n.voters for n in cluster.nodes.values() if n.commit_index}
+    assert len(heads) <= 1
+
+
+def test_full_disk_of_the_leader_hands_over():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 5)
+    first = cluster.elect()
+    cluster.disks[first].full = True
+    cluster.propose(first, "full", "x")
+    assert cluster.decided["full"].reason == "storage_full"
+    cluster.run(3.0)
+    second = cluster.elect()
+    assert second != first
+    _fill(cluster, 5, 5)
+    cluster.disks[first].full = False
+    cluster.run(3.0)
+    values = cluster.machines[second].values
+    assert cluster.machines[first].values == values
+    assert "x" not in values
+
+
+def test_planned_stop_hands_leadership_over_at_once():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 5)
+    first = cluster.elect()
+    began = cluster.now
+    cluster.do(first, cluster.nodes[first].transfer(cluster.now))
+    cluster.run_until(lambda: cluster.leader not in (None, first))
+    assert cluster.now - began < 0.2
+
+
+def test_one_surviving_copy_forms_voters_anew():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 30)
+    for name in NAMES:
+        cluster.crash(name)
+    rec = recorder.MemoryRecorder()
+    formed = recovery.form_anew(cluster.disks["a"], "a", rec)
+    assert formed.generation == 2
+    assert any("b, c" in line for line in formed.missing)
+    assert rec.events[-1][0] == events.Event.VOTERS_FORMED_ANEW
+    for name in NAMES:
+        cluster.start(name)
+    cluster.run(5.0)
+    assert cluster.leader == "a"
+    assert cluster.nodes["b"].superseded and cluster.nodes["c"].superseded
+    _fill(cluster, 30, 5)
+    with pytest.raises(errors.StorageError, match="elsewhere"):
+        recovery.form_anew(cluster.disks["b"], "b", rec)
+    for name in ("b", "c"):
+        cluster.crash(name)
+        recovery.repair(cluster.disks[name], rec, 5)
+        cluster.start(name)
+
+    def whole():
+        _want(cluster, NAMES)
+        return len(_voting(cluster.nodes["a"])) == 3
+
+    cluster.run_until(whole)
+    cluster.run(2.0)
+    wanted = [f"v{n}" for n in range(35)]
+    assert all(m.values == wanted for m in cluster.machines.values())
