Lend request slots between entry VMs and warm cold upstreams up

Fixed shares left slots idle at one entry VM while requests waited at another, let a cold upstream have full load, and forgot nobody who left.

A lender for each service and data centre lends slots with leases that run on the holder's clock; holders report running totals and whole state, so messages may be lost, repeated or reordered. A cold upstream's starts are lent one by one, with rests that keep it below its share, which grows with completed work.

--- a/ebonytally/settings.py
+++ b/ebonytally/settings.py
@@ -102,10 +102,14 @@
     :param cold_share: part of full load for a cold one, 1 to 1000
     :param eject_share: part of a service that may be ejected at most
     :param eject_s: how long an ejected upstream is left alone
+    :param warm_requests: answers after which a cold one is warm
+    :param loan_s: how long lent request slots count without renewal
     """
 
     lease_s: float = 3.0
     cold_share: int = 100
+    warm_requests: int = 100
+    loan_s: float = 1.0
     eject_share: float = 0.34
     eject_s: float = 5.0
 
--- /dev/null
+++ b/ebonytally/slot_broker.py
@@ -0,0 +1,470 @@
+"""The lender's side of slot lending, for the upstreams it lends.
+
+The sum of what all holders may have under way never passes what the
+upstream may get. Holders not heard keep their slots until their lease
+and the longest attempt that they may have started have ended.
+"""
+
+import attrs
+
+from ebonytally import settings
+from ebonytally import slot_ledger
+from ebonytally import slot_messages
+from ebonytally import upstream_choice
+from ebonytally import view
+from ebonytally import warmup
+
+RESEND_S = 0.1
+RECALL_GAP_S = 0.02
+NEED_FRESH_S = 1.5
+EXCLUDE_S = 1.0
+RETIRED_BOOTS = 8
+
+
+@attrs.define
+class _Peer:
+    """A holder as the lender knows it.
+
+    :param number: newest report of that boot
+    :param stamp_ms: stamp of that report, which an answer repeats
+    :param received: when that report came
+    :param lease_until: it may start attempts until then
+    :param hold_s: longest attempt that it may start
+    """
+
+    boot: int = 0
+    retired: list[int] = attrs.field(factory=list)
+    number: int = 0
+    stamp_ms: int = -1
+    received: float = float("-inf")
+    lease_until: float = float("-inf")
+    hold_s: float = 0.0
+    wants_hold_s: int = 0
+    revision: int = -1
+    sent: float = float("-inf")
+    due: bool = False
+    needs: dict[str, slot_messages.Need] = attrs.field(factory=dict)
+
+
+@attrs.define
+class _Endpoint:
+    """An upstream that this entry VM lends.
+
+    :param since: revision from which on it lends it
+    :param settled: every entry VM knows that this one lends it
+    :param fresh: nobody lent it before
+    :param unheard_until: until then, VMs not heard may use its slots
+    :param entries: loans by holder
+    :param told: running totals last reported, by holder
+    :param excluded: holders that failed with it, until when
+    """
+
+    upstream: view.Upstream
+    warm: warmup.Warmup
+    since: int
+    settled: bool
+    fresh: bool
+    unheard_until: float
+    retired: bool = False
+    recalled: float = float("-inf")
+    entries: dict[str, slot_ledger.Entry] = attrs.field(factory=dict)
+    told: dict[str, slot_messages.Use] = attrs.field(factory=dict)
+    excluded: dict[str, float] = attrs.field(factory=dict)
+
+    @property
+    def bound(self) -> int:
+        """Return the most attempts that holders may have under way."""
+        return sum(entry.bound for entry in self.entries.values())
+
+
+class Broker:
+    """Lends the slots of the upstreams whose lender this entry VM is.
+
+    :param boot: drawn at the start, tells restarts apart
+    """
+
+    def __init__(self, cfg: settings.Settings, me: str, boot: int) -> None:
+        """Lend nothing."""
+        self._cfg = cfg
+        self._me = me
+        self._boot = boot
+        self._serial = 0
+        self._view = view.View()
+        self._peers: dict[str, _Peer] = {}
+        self.endpoints: dict[int, _Endpoint] = {}
+        self._leased = True
+
+    def reach(self, leased: bool) -> None:
+        """Note whether the configuration lease holds."""
+        self._leased = leased
+
+    def changed(self, new: view.View, now: float) -> None:
+        """Take a newer view and the upstreams to lend."""
+        old = self._view
+        self._view = new
+        before = {one.id for one in old.upstreams}
+        steady = old.revision > 0 and old.keeper_epoch == new.keeper_epoch
+        mine = {
+            one.id: one
+            for one in new.upstreams
+            if upstream_choice.lender(new.vms, one) == self._me
+        }
+        for upstream in set(self.endpoints) - set(mine):
+            del self.endpoints[upstream]
+        for one in mine.values():
+            known = self.endpoints.get(one.id)
+            if known is None:
+                fresh = steady and one.id not in before
+                self._begin(one, fresh, now)
+            else:
+                known.upstream = one
+            if one.data_centre in new.out:
+                self.endpoints[one.id].warm.started_anew()
+        self._rearranged(old, new)
+
+    def _rearranged(self, old: view.View, new: view.View) -> None:
+        """Forget holders that were retired for good."""
+        names = {vm.name for vm in new.vms}
+        for name in {vm.name for vm in old.vms} - names:
+            self._peers.pop(name, None)
+
+    def _begin(self, one: view.Upstream, fresh: bool, now: float) -> None:
+        wait_s = (
+            self._cfg.limits.lease_s
+            + self._cfg.upstreams.loan_s
+            + self._hold_s()
+        )
+        self.endpoints[one.id] = _Endpoint(
+            upstream=one,
+            warm=warmup.Warmup(self._cfg.upstreams, one.slots, one.share),
+            since=self._view.revision,
+            settled=fresh,
+            fresh=fresh,
+            unheard_until=now if fresh else now + wait_s,
+        )
+
+    def _hold_s(self) -> float:
+        """Return the longest attempt that any holder may have started."""
+        return max(
+            self._cfg.requests.default_timeout_s,
+            *(peer.wants_hold_s for peer in self._peers.values()),
+            0.0,
+        )
+
+    def retire(self, upstream: int) -> None:
+        """Lend nothing more of an upstream that drains or started anew."""
+        if upstream in self.endpoints:
+            self.endpoints[upstream].retired = True
+
+    def report(self, peer: str, msg: slot_messages.Report, now: float) -> None:
+        """Take a holder's report."""
+        known = self._peers.setdefault(peer, _Peer())
+        if msg.boot in known.retired:
+            return
+        if msg.boot != known.boot:
+            self._restarted(peer, known, msg.boot)
+        if msg.number <= known.number:
+            return
+        known.number = msg.number
+        known.stamp_ms = msg.stamp_ms
+        known.received = now
+        known.lease_until = max(known.lease_until, now)
+        if msg.revision <= self._view.revision:
+            known.revision = max(known.revision, msg.revision)
+        known.wants_hold_s = msg.hold_s
+        known.needs = {need.service: need for need in msg.needs}
+        known.due = True
+        uses = {use.upstream: use for use in msg.uses}
+        same = msg.lender == self._boot
+        for upstream, endpoint in self.endpoints.items():
+            use = uses.get(upstream)
+            self._settle(endpoint, now)
+            if use is not None:
+                self._used(endpoint, peer, use, use.serial * same, now)
+
+    def _restarted(self, name: str, peer: _Peer, boot: int) -> None:
+        """Forget what the holder's former process had.
+
+        Its connections ended with it, and its attempts with them.
+        """
+        if peer.boot:
+            peer.retired = [*peer.retired, peer.boot][-RETIRED_BOOTS:]
+        peer.boot = boot
+        peer.number = 0
+        peer.lease_until = float("-inf")
+        for endpoint in self.endpoints.values():
+            endpoint.entries.pop(name, None)
+            endpoint.told.pop(name, None)
+
+    def _used(
+        self,
+        endpoint: _Endpoint,
+        peer: str,
+        use: slot_messages.Use,
+        serial: int,
+        now: float,
+    ) -> None:
+        entry = endpoint.entries.setdefault(peer, slot_ledger.Entry())
+        entry.reported(use, serial)
+        old = endpoint.told.get(peer)
+        endpoint.told[peer] = use
+        if use.avoid:
+            endpoint.excluded[peer] = now + EXCLUDE_S
+        if old is not None:
+            self._outcomes(endpoint, peer, old, use, now)
+        elif endpoint.fresh:
+            none = slot_messages.Use(use.upstream, 0, 0, 0)
+            self._outcomes(endpoint, peer, none, use, now)
+        elif endpoint.warm.limited:
+            endpoint.warm.answered(0, use.took_ms / 1000, now)
+
+    def _outcomes(
+        self,
+        endpoint: _Endpoint,
+        peer: str,
+        old: slot_messages.Use,
+        use: slot_messages.Use,
+        now: float,
+    ) -> None:
+        took_s = use.took_ms / 1000
+        if use.oks > old.oks:
+            endpoint.warm.answered(use.oks - old.oks, took_s, now)
+        if use.slows > old.slows:
+            endpoint.warm.slow(use.slows - old.slows, took_s, now)
+        for _ in range(min(use.sheds - old.sheds, endpoint.upstream.slots)):
+            endpoint.warm.shed(now)
+        if use.fails > old.fails:
+            endpoint.warm.failed(now)
+            endpoint.excluded[peer] = now + EXCLUDE_S
+
+    def _settle(self, endpoint: _Endpoint, now: float) -> None:
+        """Note when every entry VM takes this one for the lender."""
+        if endpoint.settled:
+            return
+        heard = all(
+            vm.name in self._peers
+            and self._peers[vm.name].revision >= endpoint.since
+            for vm in self._view.vms
+        )
+        endpoint.settled = heard or now >= endpoint.unheard_until
+
+    def tick(self, now: float) -> None:
+        """Free the slots of holders that can't use them any more."""
+        for name, peer in self._peers.items():
+            hold_s = max(peer.hold_s, self._cfg.requests.default_timeout_s)
+            if now >= peer.lease_until + hold_s and name != self._me:
+                self._forget(name, peer, now)
+        for endpoint in self.endpoints.values():
+            self._settle(endpoint, now)
+
+    def _forget(self, name: str, peer: _Peer, now: float) -> None:
+        if now - peer.received < self._cfg.upstreams.loan_s:
+            return
+        for endpoint in self.endpoints.values():
+            endpoint.entries.pop(name, None)
+
+    def lend(self, now: float) -> list[tuple[str, slot_messages.Loans]]:
+        """Lend what is free to those who need it most; return messages."""
+        demand = self._demand(now)
+        for endpoint in sorted(
+            self.endpoints.values(),
+            key=lambda one: one.bound / one.upstream.slots,
+        ):
+            self._lend(endpoint, demand, now)
+        return self._messages(now)
+
+    def _demand(self, now: float) -> dict[str, dict[str, list[float]]]:
+        """Return [waiting, busy, held] by service and holder."""
+        out: dict[str, dict[str, list[float]]] = {}
+        for name, peer in self._peers.items():
+            if now - peer.received > NEED_FRESH_S:
+                continue
+            for need in peer.needs.values():
+                out.setdefault(need.service, {})[name] = [
+                    need.waiting,
+                    need.busy,
+                    need.held,
+                ]
+        return out
+
+    def limit(self, endpoint: _Endpoint, now: float) -> int:
+        """Return how many attempts all holders together may have."""
+        one = endpoint.upstream
+        if endpoint.retired or not endpoint.settled:
+            return 0
+        home = one.data_centre == self._cfg.data_centre
+        allowed = upstream_choice.lendable(one.slots, home, self._leased)
+        if not upstream_choice.usable(
+            self._view, one, self._cfg.data_centre, self._leased
+        ):
+            return 0
+        return min(allowed, endpoint.warm.limit(now))
+
+    def _lend(
+        self,
+        endpoint: _Endpoint,
+        demand: dict[str, dict[str, list[float]]],
+        now: float,
+    ) -> None:
+        limit = self.limit(endpoint, now)
+        holders = demand.get(endpoint.upstream.service, {})
+        bound = endpoint.bound
+        if limit == 0 or bound > limit:
+            self._recall_above(endpoint, limit)
+            return
+        while bound < limit:
+            name = self._neediest(endpoint, holders, now)
+            if not name:
+                return
+            self._grant(endpoint, name)
+            holders[name][0] -= 1
+            holders[name][2] += 1
+            bound = endpoint.bound
+        if not endpoint.warm.limited:
+            self._rebalance(endpoint, holders, now)
+
+    def _neediest(
+        self,
+        endpoint: _Endpoint,
+        holders: dict[str, list[float]],
+        now: float,
+    ) -> str:
+        best = ""
+        best_need = 0.0
+        for name, (waiting, busy, held) in sorted(holders.items()):
+            if not self._may_lend_to(endpoint, name, now):
+                continue
+            if waiting <= 0 and held > 0 and not endpoint.warm.limited:
+                continue
+            need = (max(waiting, 0.1) + busy) / (held + 1)
+            if need > best_need:
+                best, best_need = name, need
+        return best
+
+    def _may_lend_to(
+        self,
+        endpoint: _Endpoint,
+        name: str,
+        now: float,
+    ) -> bool:
+        peer = self._peers[name]
+        if now - peer.received >= self._cfg.upstreams.loan_s / 2:
+            return False
+        if now < endpoint.excluded.get(name, now):
+            return False
+        entry = endpoint.entries.get(name)
+        return not (endpoint.warm.limited and entry and entry.unseen)
+
+    def _grant(self, endpoint: _Endpoint, name: str) -> None:
+        entry = endpoint.entries.setdefault(name, slot_ledger.Entry())
+        starts = 1 if endpoint.warm.limited else slot_messages.UNLIMITED
+        self._set(entry, name, max(entry.count, 0) + 1, starts)
+
+    def _set(
+        self,
+        entry: slot_ledger.Entry,
+        name: str,
+        count: int,
+        starts: int,
+    ) -> None:
+        self._serial += 1
+        entry.lend(self._serial, count, starts)
+        self._peers[name].due = True
+
+    def _recall_above(self, endpoint: _Endpoint, limit: int) -> None:
+        """Recall loans until the newest ones stay within the limit."""
+        entries = endpoint.entries
+        total = sum(entry.count for entry in entries.values())
+        for name in sorted(entries, key=lambda one: -entries[one].count):
+            entry = entries[name]
+            if total <= limit or name not in self._peers:
+                break
+            less = min(entry.count, total - limit)
+            if less:
+                self._set(entry, name, entry.count - less, 0)
+                total -= less
+
+    def _rebalance(
+        self,
+        endpoint: _Endpoint,
+        holders: dict[str, list[float]],
+        now: float,
+    ) -> None:
+        """Move a slot from the least pressed to the most pressed one."""
+        if now - endpoint.recalled < RECALL_GAP_S:
+            return
+        if any(entry.recalled for entry in endpoint.entries.values()):
+            return
+        gain = {
+            name: (waiting + busy) / (held + 1)
+            for name, (waiting, busy, held) in holders.items()
+            if waiting > 0 and self._may_lend_to(endpoint, name, now)
+        }
+        if not gain:
+            return
+        starving = max(sorted(gain), key=gain.__getitem__)
+        loss = {
+            name: self._loss(holders.get(name))
+            for name, entry in endpoint.entries.items()
+            if entry.count > 0 and name != starving
+        }
+        if not loss:
+            return
+        giving = min(sorted(loss), key=loss.__getitem__)
+        if loss[giving] >= gain[starving]:
+            return
+        endpoint.recalled = now
+        entry = endpoint.entries[giving]
+        self._set(entry, giving, entry.count - 1, entry.starts)
+        if giving in holders:
+            holders[giving][2] = max(0, holders[giving][2] - 1)
+        holders[starving][0] -= 1
+        holders[starving][2] += 1
+
+    def _loss(self, need: list[float] | None) -> float:
+        """Return how pressed a holder is with one slot less."""
+        if need is None:
+            return 0.0
+        waiting, busy, held = need
+        if busy < held and waiting <= 0:
+            return 0.0
+        return (waiting + busy) / max(held - 1, 0.5)
+
+    def _messages(self, now: float) -> list[tuple[str, slot_messages.Loans]]:
+        out = []
+        for name, peer in sorted(self._peers.items()):
+            if now - peer.received >= self._cfg.upstreams.loan_s:
+                continue
+            loans = self._unseen(name)
+            again = loans and now - peer.sent >= RESEND_S
+            if not peer.due and not again:
+                continue
+            out.append((name, self._message(peer, loans, now)))
+        return out
+
+    def _unseen(self, name: str) -> tuple[slot_messages.Loan, ...]:
+        return tuple(
+            endpoint.entries[name].loan(upstream)
+            for upstream, endpoint in self.endpoints.items()
+            if name in endpoint.entries and endpoint.entries[name].unseen
+        )
+
+    def _message(
+        self,
+        peer: _Peer,
+        loans: tuple[slot_messages.Loan, ...],
+        now: float,
+    ) -> slot_messages.Loans:
+        peer.due = False
+        peer.sent = now
+        until = peer.received + self._cfg.upstreams.loan_s
+        peer.lease_until = max(peer.lease_until, until)
+        usual = self._cfg.requests.default_timeout_s
+        peer.hold_s = max(peer.hold_s, usual, peer.wants_hold_s)
+        return slot_messages.Loans(
+            boot=peer.boot,
+            stamp_ms=peer.stamp_ms,
+            lender=self._boot,
+            hold_s=int(peer.hold_s),
+            loans=loans,
+        )
