--- a/ebonytally/requests.py
+++ b/ebonytally/requests.py
@@ -272,7 +272,12 @@
     ) -> actions.Dispatch | None:
         live = self._live[head.req]
         tried = frozenset(live.tried)
-        upstream = self._slots.take(head.service, tried, now)
+        upstream = self._slots.take(
+            head.service,
+            tried,
+            now,
+            head.deadline,
+        )
         if upstream is None:
             return None
         number = self._next_attempt
--- a/tests/test_request_dispatch.py
+++ b/tests/test_request_dispatch.py
@@ -38,7 +38,7 @@
         self.wanted = 0
         self.back: list[tuple[int, ports.AttemptKind]] = []
 
-    def take(self, service, exclude, now):
+    def take(self, service, exclude, now, deadline=None):
         for number, free in self.free.items():
             if free and number not in exclude:
                 self.free[number] = 0
