--- a/ebonytally/flow_messages.py
+++ b/ebonytally/flow_messages.py
@@ -6,7 +6,8 @@
 
 from ebonytally import wire
 
-HASH_AND_UPSTREAM = struct.Struct("!QI")
+FLOW = struct.Struct("!QI")
+FLOW_BYTES = FLOW.size
 
 _HEAD = struct.Struct("!BBIQ")
 
@@ -64,13 +65,16 @@
 @wire.message(201)
 @attrs.frozen
 class FlowRefused:
-    """A keeper doesn't know this flow: go on asking it.
+    """A keeper says that a flow isn't at the base, or isn't known.
 
-    :param confirmation: what the entry VM remembered of the flow
+    The entry VM goes on sending its packets by way of the keeper.
+
+    :param service: as `flow_packet.Parsed.service`
+    :param flow: as `flow_packet.Parsed.flow`
     """
 
+    service: int
     flow: int
-    upstream: int
 
 
 @wire.message(202)
@@ -87,12 +91,14 @@
 
 @attrs.frozen
 class ServiceRecords:
-    """Flows of one service.
+    """Flows of one service in one slot group.
 
-    :param records: HASH_AND_UPSTREAM of each flow, open ones only
+    :param complete: these are all its live flows
+    :param records: FLOW of each: hash, then upstream id and state
     """
 
     service: str
+    complete: bool
     records: bytes
 
 
@@ -114,12 +120,10 @@
     """All that one VM knows of one slot group.
 
     :param held: last keeper epoch in which it was a keeper of the group
-    :param complete: it knows every live flow of the group
     """
 
     group: int
     held: int
-    complete: bool
     services: tuple[ServiceRecords, ...] = ()
     promises: tuple[Promise, ...] = ()
 
@@ -129,11 +133,12 @@
 class KeeperReport:
     """Answer to a KeeperAsk, from a peer that is in the same epoch.
 
-    :param groups: some of the wanted groups, those asked for but not
-        here are asked for again
+    :param covered: bitmap of the groups that this answers for; others
+        are asked for again
     """
 
     epoch: int
+    covered: bytes
     groups: tuple[GroupRecords, ...]
 
 
