--- a/ebonytally/flow_keeper.py
+++ b/ebonytally/flow_keeper.py
@@ -64,7 +64,7 @@
         if record is None:
             return self._unrecorded(held, now)
         if record.state is flow_records.State.ENDED and held.starts:
-            return self._begin(held, now)
+            return self._unrecorded(held, now)
         target = held.route.targets.get(record.upstream)
         if target is None:
             return self._dead(held, record.upstream, now)
@@ -122,6 +122,9 @@
         return direct is None or direct.id == target.id
 
     def _unrecorded(self, held: Held, now: float) -> list[actions.Action]:
+        first = self.site.keepers.first[held.group]
+        if first not in (self.site.me, held.origin) and self.site.heard(first):
+            return self.hand_on(held, first)
         if held.starts:
             return self._begin(held, now)
         if held.parsed.protocol == flow_packet.UDP and self._is_new(held, now):
@@ -205,9 +208,6 @@
             return self._begin_cut_off(held, now)
         second = self.site.keepers.second[held.group]
         if self.site.keepers.first[held.group] != self.site.me:
-            first = self.site.keepers.first[held.group]
-            if self.site.heard(first) and held.origin != first:
-                return self.hand_on(held, first)
             second = ""
         state = held.route.kept.get(held.slot)
         if state is None or not state.placing:
--- a/ebonytally/flow_keepers.py
+++ b/ebonytally/flow_keepers.py
@@ -46,7 +46,10 @@
 def _pair(group: int, up: list[view.Vm]) -> tuple[str, str]:
     ranked = sorted(
         up,
-        key=lambda vm: (xxhash.xxh3_64_intdigest(vm.name, group), vm.name),
+        key=lambda vm: (
+            xxhash.xxh3_64_intdigest(vm.name.encode(), group),
+            vm.name,
+        ),
     )
     if not ranked:
         return "", ""
@@ -61,7 +64,7 @@
 
 def group_seed(service: str) -> int:
     """Return what a service adds to its slots to find their group."""
-    return xxhash.xxh3_64_intdigest(service) % GROUPS
+    return xxhash.xxh3_64_intdigest(service.encode()) % GROUPS
 
 
 def to_bitmap(groups: Iterable[int]) -> bytes:
--- a/ebonytally/flow_messages.py
+++ b/ebonytally/flow_messages.py
@@ -148,27 +148,20 @@
     """Ask the other keeper to agree that all flows are at one upstream.
 
     :param slots: pairs of slot and `view.SlotState.since`, flattened
-    :param seen: version of the table
     """
 
     epoch: int
     service: str
     slots: tuple[int, ...]
     base: int
-    seen: int
 
 
 @wire.message(205)
 @attrs.frozen
 class PinAgreed:
-    """The other keeper agrees for these slots, shaped as in PinAsk.
-
-    :param complete: slots for which it knows every live flow
-    """
+    """The other keeper agrees for these slots, shaped as in PinAsk."""
 
     epoch: int
     service: str
     slots: tuple[int, ...]
-    complete: tuple[int, ...]
     base: int
-    seen: int
--- a/ebonytally/flow_records.py
+++ b/ebonytally/flow_records.py
@@ -57,12 +57,16 @@
         idle_s: float,
         linger_s: float,
         changed: Callable[[str, int, int, int], None],
+        stands: Callable[[str, int], bool],
     ) -> None:
         """Start empty.
 
         :param changed: called with service, slot, upstream and +1 or -1
             when a flow opens or is no longer open
+        :param stands: tells for service and upstream whether it may get
+            packets; flows at others have ended
         """
+        self._stands = stands
         self._bucket_s = min(
             linger_s / _BUCKETS_PER_LINGER,
             idle_s / _BUCKETS_PER_IDLE,
@@ -176,8 +180,8 @@
     def sweep(self, now: float) -> None:
         """Forget flows that are silent or ended for long.
 
-        Does a part of the slots in each call, all of them within one
-        time bucket.
+        Flows at upstreams that may get no packet end. Does a part of the
+        slots in each call, all of them within one time bucket.
         """
         total = sum(len(slots) for slots in self._slots.values())
         part = (now - self._swept_at) / self._bucket_s
@@ -208,15 +212,30 @@
         flows: dict[int, int],
     ) -> None:
         bucket = self._bucket(self._swept_at)
-        old = {
-            value
-            for value in set(flows.values())
-            if self._is_old(value, bucket)
-        }
-        if not old:
+        old = set()
+        ended = {}
+        for value in set(flows.values()):
+            if self._is_old(value, bucket):
+                old.add(value)
+            elif self._is_stranded(service, value):
+                upstream = value >> _UPSTREAM_SHIFT
+                code = _joined(upstream, State.ENDED, bucket)
+                ended[value] = self._shared.setdefault(code, code)
+        if not old and not ended:
             return
-        for flow in [key for key, value in flows.items() if value in old]:
-            self._count(service, slot, flows.pop(flow), -1)
+        for flow, value in list(flows.items()):
+            if value in old:
+                del flows[flow]
+            elif value in ended:
+                flows[flow] = ended[value]
+            else:
+                continue
+            self._count(service, slot, value, -1)
+
+    def _is_stranded(self, service: str, value: int) -> bool:
+        if value >> _BUCKET_BITS & _STATE_MASK == State.ENDED:
+            return False
+        return not self._stands(service, value >> _UPSTREAM_SHIFT)
 
     def _is_old(self, value: int, bucket: int) -> bool:
         age = (bucket - value) & _BUCKET_MASK
--- a/ebonytally/flows.py
+++ b/ebonytally/flows.py
@@ -54,6 +54,7 @@
             idle_s,
             cfg.flows.linger_s,
             self._count,
+            self._stands,
         )
         self._promises = flow_promises.Promises()
         self._handover = flow_handover.Handover(
@@ -196,6 +197,12 @@
         """Return the number of flows remembered here."""
         return len(self._records)
 
+    def settled(self, epoch: int) -> bool:
+        """Tell whether all flows of its groups in an epoch are known."""
+        if self._site.epoch != epoch:
+            return False
+        return self._handover.agreed
+
     def stop(self, now: float) -> list[actions.Action]:
         """Begin a planned stop: other entry VMs become keepers."""
         for vm in self._site.state.vms:
@@ -324,6 +331,10 @@
             self._records.add_service(name, route.mask + 1)
             self._handover.add_service(name, bool(old.revision), now)
 
+    def _stands(self, service: str, upstream: int) -> bool:
+        route = self._by_name.get(service)
+        return route is not None and upstream in route.targets
+
     def _count(
         self,
         service: str,
--- /dev/null
+++ b/tests/flow_bed.py
@@ -0,0 +1,513 @@
+"""Several Flows objects, a log and upstreams on one virtual clock.
+
+Messages and views arrive late and out of order. Upstreams note what
+reaches them; `faults` lists every promise that was broken.
+"""
+
+import collections
+import heapq
+import ipaddress
+import random
+import struct
+
+import attrs
+
+from ebonytally import actions
+from ebonytally import commands
+from ebonytally import config
+from ebonytally import flow_messages
+from ebonytally import flow_packet
+from ebonytally import flow_placing
+from ebonytally import flows
+from ebonytally import recorder
+from ebonytally import settings
+from ebonytally import view
+from ebonytally import wire
+
+TICK_S = 0.05
+HOP_S = 0.002
+RESEND_S = 0.5
+OUT_GRACE_S = 3.0
+DRAIN_GRACE_S = 2.5
+UP = view.UpstreamState.UP
+KEY = b"k" * 32
+FRAME_OVERHEAD_BYTES = 28
+
+_IP = struct.Struct("!BBHHHBBH4s4s")
+_TCP = struct.Struct("!HHIIBBHHH")
+_UDP = struct.Struct("!HHHH")
+SYN = 0x02
+ACK = 0x10
+FIN = 0x11
+
+
+def packet(src, sport, service, flags=ACK):
+    """Return a caller's packet; `flags` are ignored for UDP."""
+    if service.protocol == flow_packet.TCP:
+        body = _TCP.pack(sport, service.port, 1, 1, 0x50, flags, 9, 0, 0)
+    else:
+        body = _UDP.pack(sport, service.port, 8, 0)
+    head = _IP.pack(
+        0x45, 0, 20 + len(body), 0, 0, 64, service.protocol, 0,
+        ipaddress.IPv4Address(src).packed,
+        ipaddress.IPv4Address(service.address).packed,
+    )  # fmt: skip
+    return head + body
+
+
+def make_settings(name, data_centre, idle_s=60.0, linger_s=4.0):
+    """Return settings of one entry VM."""
+    return settings.Settings(
+        name=name,
+        address="10.0.0.1",
+        data_centre=data_centre,
+        region="r",
+        cluster_key="0" * 64,
+        data_folder="x",
+        seeds=(),
+        flows=settings.Flows(idle_s, linger_s),
+    )
+
+
+@attrs.define(eq=False)
+class Process:
+    """An upstream as it is, whatever the log says."""
+
+    service: str
+    address: str
+    data_centre: str
+    limit: int
+    stands: bool = True
+    draining_at: float | None = None
+    flows: set = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class Caller:
+    """One flow as its caller sees it."""
+
+    src: str
+    sport: int
+    service: view.Service
+    first: Process | None = None
+    since: float = 0.0
+    over: bool = False
+    sent_at: float = -1e9
+    refused: int = 0
+
+
+class Bed:
+    """The whole bed.
+
+    :param delay_s: longest time until a view reaches a VM
+    :param placing: what the leader runs, `flow_placing.ready` or a
+        broken variant
+    """
+
+    def __init__(
+        self,
+        vms,
+        services,
+        seed=0,
+        delay_s=0.3,
+        placing=flow_placing.ready,
+        make=flows.Flows,
+        idle_s=60.0,
+        measure=False,
+    ):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.delay_s = delay_s
+        self._placing = placing
+        self._make = make
+        self._idle_s = idle_s
+        self._measure = measure
+        self._queue = []
+        self._serial = 0
+        self.faults = []
+        self.callers = []
+        self.processes = {}
+        self.ids = {}
+        self.out_at = {}
+        self.was_out = collections.defaultdict(list)
+        self.control_bytes = collections.Counter()
+        self.hand_bytes = 0
+        self.forwarded = 0
+        self.vms = {}
+        self.recorders = {}
+        self.applied = {}
+        self.dead_at = {}
+        self.sides = {}
+        self.placed_tokens = {}
+        made = tuple(
+            view.Vm(name, f"10.1.0.{n + 1}", dc, "r", True)
+            for n, (name, dc) in enumerate(vms)
+        )
+        self.log = config.apply(view.View(), commands.Genesis(made))
+        for vm in made:
+            self._start(vm)
+        self.run(1.0)
+        for service in services:
+            self.commit(commands.ServiceSet(service))
+        self.run(1.0)
+
+    # The log and the VMs.
+
+    def _start(self, vm):
+        cfg = make_settings(vm.name, vm.data_centre, self._idle_s)
+        self.recorders[vm.name] = recorder.MemoryRecorder()
+        self.vms[vm.name] = self._make(cfg, vm.name, self.recorders[vm.name])
+        self.applied[vm.name] = 0
+        self.sides[vm.name] = 0
+        self.dead_at.pop(vm.name, None)
+        self._tell(vm.name, 0.0)
+        self._reach()
+
+    def commit(self, command):
+        """Apply a command and let the VMs hear of it, each when it may."""
+        self.log = config.apply(self.log, command)
+        for name in self.vms:
+            if self.sides[name] == 0:
+                self._tell(name, self.random.random() * self.delay_s)
+
+    def _tell(self, name, delay):
+        self._at(delay, "view", name, self.vms[name], self.log)
+
+    def _reach(self):
+        for name, one in self.vms.items():
+            peers = frozenset(
+                peer
+                for peer in self.vms
+                if peer != name and self.sides[peer] == self.sides[name]
+            )
+            peers |= frozenset(
+                peer
+                for peer, at in self.dead_at.items()
+                if self.now - at < 1.5 and self.sides[name] == 0
+            )
+            cut = self.sides[name]
+            one.reach(peers, not cut or self.now - cut < 1.5, self.now)
+
+    def join_vm(self, name, data_centre):
+        """Add an entry VM."""
+        vm = view.Vm(
+            name, f"10.1.1.{len(self.log.vms) + 1}", data_centre, "r", False
+        )
+        self.log = config.apply(self.log, commands.VmAdded(vm))
+        self._start(vm)
+        for other in self.vms:
+            if self.sides[other] == 0:
+                self._tell(other, self.random.random() * self.delay_s)
+
+    def _vm(self, name):
+        for vm in self.log.vms:
+            if vm.name == name:
+                return vm
+        return None
+
+    def repaired(self):
+        """Tell whether all keepers know their flows again."""
+        if self.dead_at and any(
+            vm.name in self.dead_at and vm.state is not view.VmState.DOWN
+            for vm in self.log.vms
+        ):
+            return False
+        return all(
+            one.settled(self.log.keeper_epoch) for one in self.vms.values()
+        )
+
+    def kill_vm(self, name):
+        """End a VM at once; it is marked down later."""
+        del self.vms[name]
+        del self.applied[name]
+        self.dead_at[name] = self.now
+        self._at(1.5, "reach")
+        self._at(3.1, "down", name, self.now)
+
+    def stop_vm(self, name):
+        """Stop a VM by plan."""
+        for action in self.vms[name].stop(self.now):
+            self.commit(action.command)
+        self._at(0.1, "stopping", name)
+
+    def restart_vm(self, name):
+        """Start a VM again that was killed or stopped."""
+        vm = self._vm(name)
+        self.dead_at.pop(name, None)
+        again = attrs.evolve(
+            vm, state=view.VmState.UP, incarnation=vm.incarnation + 1
+        )
+        self.log = config.apply(
+            self.log,
+            commands.VmMarked(name, again.state, again.incarnation),
+        )
+        self._start(again)
+        for other in self.vms:
+            if self.sides[other] == 0:
+                self._tell(other, self.random.random() * self.delay_s)
+
+    def cut(self, names):
+        """Cut these VMs off from the leader and the others."""
+        for name in names:
+            self.sides[name] = self.now
+            self._at(1.6, "reach")
+            self._at(3.1, "cut-down", name, self.now)
+        self._reach()
+
+    def heal(self):
+        """End the partition."""
+        for name, side in list(self.sides.items()):
+            if not side or name not in self.vms:
+                continue
+            self.sides[name] = 0
+            vm = self._vm(name)
+            if vm.state is view.VmState.DOWN:
+                cmd = commands.VmMarked(name, view.VmState.UP, vm.incarnation)
+                self.log = config.apply(self.log, cmd)
+        for name in self.vms:
+            self._tell(name, self.random.random() * self.delay_s)
+        self._reach()
+
+    # Upstreams.
+
+    def join(self, service, address, data_centre, limit=2000, share=1000):
+        """Start an upstream and return its id."""
+        process = Process(service, address, data_centre, limit)
+        self.processes[address] = process
+        number = self.log.next_upstream_id
+        up = view.Upstream(
+            0, service, address, 5555, 0, data_centre, 2, limit, 1,
+            share=share,
+        )  # fmt: skip
+        self.commit(commands.UpstreamSeen(up))
+        self.ids[number] = process
+        return number
+
+    def mark(self, id_, state=UP, share=1000):
+        """Drain an upstream or set its share."""
+        if state is view.UpstreamState.DRAINING:
+            process = self.ids[id_]
+            if process.draining_at is None:
+                process.draining_at = self.now
+        self.commit(commands.UpstreamMarked(id_, 1, state, share))
+
+    def gone(self, id_, stands=False):
+        """End an upstream; `stands` when only the log forgets it."""
+        process = self.ids[id_]
+        process.stands = stands
+        for caller in list(process.flows):
+            caller.over = True
+        process.flows.clear()
+        self.commit(commands.UpstreamGone(id_, 1))
+
+    def out(self, name):
+        """Take a data centre out."""
+        self.out_at[name] = self.now
+        for process in self.processes.values():
+            if process.data_centre == name:
+                for caller in process.flows:
+                    caller.over = True
+                process.flows.clear()
+        self.commit(commands.DataCentreOut(name))
+
+    def back(self, name):
+        """Bring a data centre back."""
+        self.out_at.pop(name, None)
+        self.was_out[name].append(self.now)
+        self.commit(commands.DataCentreBack(name))
+
+    # Callers.
+
+    def call(self, service, count=1):
+        """Begin flows."""
+        begun = []
+        for _ in range(count):
+            number = len(self.callers)
+            src = str(ipaddress.IPv4Address(0xC0000000 + number // 50))
+            caller = Caller(src, 10_000 + number % 50, service)
+            self.callers.append(caller)
+            begun.append(caller)
+            self.send(caller)
+        return begun
+
+    def send(self, caller, flags=None):
+        """Send one packet of a flow to any VM."""
+        if caller.over:
+            return
+        if flags is None:
+            flags = ACK if caller.first else SYN
+        caller.sent_at = self.now
+        data = packet(caller.src, caller.sport, caller.service, flags)
+        if not self.vms:
+            return
+        name = self.random.choice(sorted(self.vms))
+        self._at(HOP_S, "packet", name, data, caller)
+
+    def end(self, caller):
+        """Close a flow."""
+        if caller.first:
+            self.send(caller, FIN)
+            caller.first.flows.discard(caller)
+        caller.over = True
+
+    def open(self):
+        """Return the flows that are established."""
+        return [c for c in self.callers if c.first and not c.over]
+
+    # The clock.
+
+    def _at(self, delay, kind, *args):
+        self._serial += 1
+        entry = (self.now + delay, self._serial, kind, args)
+        heapq.heappush(self._queue, entry)
+
+    def run(self, seconds, chatter=0.0):
+        """Let time pass; each flow speaks `chatter` times a second."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self._chat(chatter)
+            step = min(self.now + TICK_S, end)
+            while self._queue and self._queue[0][0] <= step:
+                at, _, kind, args = heapq.heappop(self._queue)
+                self.now = max(self.now, at)
+                getattr(self, "_on_" + kind.replace("-", "_"))(*args)
+            self.now = step
+            self._tick()
+
+    def _chat(self, chatter):
+        for caller in self.callers:
+            if caller.over:
+                continue
+            if caller.first is None:
+                speaks = self.now - caller.sent_at > RESEND_S
+            else:
+                speaks = self.random.random() < chatter * TICK_S
+            if speaks:
+                self.send(caller)
+
+    def _tick(self):
+        for name in list(self.vms):
+            self._do(name, self.vms[name].tick(self.now))
+        leased_out = frozenset(
+            vm.name for vm in self.log.vms if vm.state is view.VmState.DOWN
+        )
+        for cmd in self._placing(self.log, self.applied, leased_out):
+            self.commit(cmd)
+
+    def _do(self, name, found, caller=None):
+        for action in found:
+            if isinstance(action, actions.Send):
+                self._count_bytes(name, action.msg)
+                delay = HOP_S * (0.2 + 2 * self.random.random())
+                args = (name, action.peer, action.msg, caller)
+                self._at(delay, "message", *args)
+            elif isinstance(action, actions.Forward):
+                self._forwarded(name, action, caller)
+            elif isinstance(action, actions.ToCaller):
+                self._told(caller)
+            elif isinstance(action, actions.Propose):
+                self._at(HOP_S, "propose", name, action.command)
+
+    def _count_bytes(self, name, msg):
+        if not self._measure:
+            return
+        size = len(wire.encode(KEY, name, msg)) + FRAME_OVERHEAD_BYTES
+        if isinstance(msg, flow_messages.PacketHop):
+            self.hand_bytes += size
+        else:
+            self.control_bytes[name] += size
+
+    def _on_view(self, name, one, new):
+        if self.vms.get(name) is not one or self.sides[name]:
+            return
+        self._do(name, one.changed(new, self.now))
+        self.applied[name] = max(self.applied[name], new.revision)
+
+    def _on_reach(self):
+        self._reach()
+
+    def _on_down(self, name, since):
+        if self.dead_at.get(name) != since:
+            return
+        vm = self._vm(name)
+        if vm is not None:
+            self.commit(
+                commands.VmMarked(name, view.VmState.DOWN, vm.incarnation)
+            )
+
+    def _on_cut_down(self, name, since):
+        if self.sides.get(name) == since and name in self.vms:
+            vm = self._vm(name)
+            self.commit(
+                commands.VmMarked(name, view.VmState.DOWN, vm.incarnation)
+            )
+
+    def _on_stopping(self, name):
+        one = self.vms.get(name)
+        if one is None:
+            return
+        if not one.handed_over():
+            self._at(0.1, "stopping", name)
+            return
+        del self.vms[name]
+        del self.applied[name]
+        self._reach()
+        vm = self._vm(name)
+        self.commit(commands.VmMarked(name, view.VmState.DOWN, vm.incarnation))
+
+    def _on_propose(self, name, command):
+        if not self.sides.get(name, 1):
+            self.commit(command)
+
+    def _on_packet(self, name, data, caller):
+        one = self.vms.get(name)
+        if one is not None:
+            self._do(name, one.packet(data, self.now), caller)
+
+    def _on_message(self, sender, name, msg, caller):
+        one = self.vms.get(name)
+        if one is None or self.sides.get(sender, 0) != self.sides[name]:
+            return
+        self._do(name, one.handle(sender, msg, self.now), caller)
+
+    def _told(self, caller):
+        caller.refused += 1
+        if caller.first is None:
+            return
+        if not caller.over and caller.first.stands:
+            self.faults.append(("reset", self.now, caller))
+        caller.over = True
+
+    def _forwarded(self, name, action, caller):
+        self.forwarded += 1
+        process = self.processes.get(action.address)
+        if process is None:
+            return
+        service = caller.service.name
+        if process.service != service:
+            self.faults.append(("service", self.now, caller))
+            return
+        since = self.out_at.get(process.data_centre)
+        if since is not None and self.now - since > OUT_GRACE_S:
+            self.faults.append(("out", self.now, caller))
+        if not process.stands or caller.over:
+            return
+        if caller.first is None:
+            self._began(caller, process)
+        elif caller.first is not process:
+            self.faults.append(("broken", self.now, caller))
+            caller.over = True
+            caller.first.flows.discard(caller)
+
+    def _began(self, caller, process):
+        caller.first = process
+        caller.since = self.now
+        if process.data_centre in self.out_at:
+            caller.over = True
+            return
+        process.flows.add(caller)
+        draining = process.draining_at
+        if draining is not None and self.now - draining > DRAIN_GRACE_S:
+            self.faults.append(("drain", self.now, caller))
+        if len(process.flows) > process.limit:
+            self.faults.append(("limit", self.now, caller))
