--- /dev/null
+++ b/ebonytally/leader_duties.py
@@ -0,0 +1,43 @@
+"""What the leader of the log proposes on its own account."""
+
+from ebonytally import commands
+from ebonytally import flow_placing
+from ebonytally import settings
+from ebonytally import view
+
+
+def genesis(cfg: settings.Settings) -> commands.Genesis:
+    """Return the first command, from the seeds."""
+    vms = tuple(
+        view.Vm(
+            seed.name,
+            seed.address,
+            seed.data_centre,
+            seed.region,
+            seed.control,
+        )
+        for seed in cfg.seeds
+    )
+    return commands.Genesis(vms)
+
+
+def due(
+    cfg: settings.Settings,
+    present: view.View,
+    applied: dict[str, int],
+    lapsed: frozenset[str],
+) -> list[object]:
+    """Return the commands that are due.
+
+    :param applied: newest revision applied, by VM
+    :param lapsed: VMs whose configuration leases have ended for certain
+    """
+    if present.revision == 0:
+        return [genesis(cfg)]
+    out: list[object] = [
+        commands.VmMarked(vm.name, view.VmState.DOWN, vm.incarnation)
+        for vm in present.vms
+        if vm.name in lapsed and vm.state != view.VmState.DOWN
+    ]
+    out += flow_placing.ready(present, applied, lapsed)
+    return out
--- /dev/null
+++ b/ebonytally/node.py
@@ -0,0 +1,467 @@
+"""Wires the slices of one daemon together, without any I/O.
+
+The daemon drives a Node with real adapters, scenarios drive it with small
+fakes. Every entry takes `now` and returns the actions that adapters have to
+carry out.
+"""
+
+from collections.abc import Callable
+import functools
+from typing import Protocol
+
+import attrs
+
+from ebonytally import actions
+from ebonytally import agreement
+from ebonytally import control_state
+from ebonytally import errors
+from ebonytally import flows
+from ebonytally import intents
+from ebonytally import leader_duties
+from ebonytally import members
+from ebonytally import own_mark
+from ebonytally import ports
+from ebonytally import proposals
+from ebonytally import reasons
+from ebonytally import recorder as recorders
+from ebonytally import requests
+from ebonytally import settings
+from ebonytally import spread
+from ebonytally import spread_history
+from ebonytally import spread_messages
+from ebonytally import upstreams
+from ebonytally import view
+from ebonytally import wire
+
+VIEW_FILE = "view"
+INCARNATION_FILE = "incarnation"
+STORE_EVERY_S = 1.0
+DUTIES_EVERY_S = 0.1
+PROPOSE_AGAIN_S = 1.0
+_MEMBERS = range(1, 10)
+_SPREAD = range(10, 20)
+_PROPOSALS = range(20, 30)
+_AGREEMENT = range(100, 200)
+_FLOWS = range(200, 300)
+_REQUESTS = range(300, 400)
+_UPSTREAMS = range(400, 500)
+
+
+class ControlRunner(Protocol):
+    """Runs calls that may wait for the disk, one after the other."""
+
+    def run(
+        self,
+        call: Callable[[], list[actions.Action]],
+    ) -> list[actions.Action]:
+        """Run a call now and return its actions, or later and none."""
+
+
+class Inline:
+    """Runs each call at once."""
+
+    def run(
+        self,
+        call: Callable[[], list[actions.Action]],
+    ) -> list[actions.Action]:
+        """Return the actions of the call."""
+        return call()
+
+
+class Router(Protocol):
+    """Something that takes messages of other entry VMs."""
+
+    def handle(
+        self,
+        peer: str,
+        msg: object,
+        now: float,
+    ) -> list[actions.Action]:
+        """Take one message."""
+
+
+@attrs.frozen
+class Reach:
+    """Whom this VM hears and whether its lease holds."""
+
+    alive: frozenset[str]
+    leased: bool
+
+
+def next_incarnation(disk: ports.Disk, wall: float) -> int:
+    """Return a number above that of every earlier start, durably.
+
+    :param wall: seconds since 1970 by this machine's clock
+    """
+    raw = disk.read(INCARNATION_FILE)
+    last = 0
+    if raw is not None and raw.isdigit():
+        last = int(raw)
+    incarnation = max(last + 1, int(wall * 1000))
+    disk.replace(INCARNATION_FILE, str(incarnation).encode())
+    return incarnation
+
+
+def first_view(cfg: settings.Settings, disk: ports.Disk) -> view.View:
+    """Return the stored view, or one that has only the seeds."""
+    raw = disk.read(VIEW_FILE)
+    if raw is not None:
+        try:
+            whole = wire.unpack(raw, spread_messages.WholeView)
+            return spread_history.open_whole(whole)
+        except errors.WireError:
+            disk.remove(VIEW_FILE)
+    return view.View(vms=leader_duties.genesis(cfg).vms)
+
+
+class Node:
+    """All decisions of one entry VM."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        disk: ports.Disk,
+        incarnation: int,
+        recorder: recorders.Recorder,
+        seed: int,
+        now: float,
+        control: ControlRunner | None = None,
+    ) -> None:
+        """Make the slices from the settings and the data folder.
+
+        :param control: runs what may wait for the disk, at once if None
+        """
+        me = cfg.name
+        self._control = control or Inline()
+        self.cfg = cfg
+        self.incarnation = incarnation
+        self._disk = disk
+        self._recorder = recorder
+        first = first_view(cfg, disk)
+        self.members = members.Members(
+            cfg,
+            me,
+            incarnation,
+            recorder,
+            seed,
+        )
+        self.spread = spread.Spread(cfg, me, first, recorder, seed)
+        self.flows = flows.Flows(cfg, me, recorder)
+        self.upstreams = upstreams.Upstreams(
+            cfg,
+            me,
+            cfg.data_centre,
+            recorder,
+            seed,
+        )
+        self.requests = requests.Requests(
+            cfg,
+            me,
+            self.upstreams,
+            recorder,
+            seed,
+        )
+        self.intents = intents.Intents(cfg, me, recorder, seed)
+        self.proposals = proposals.Proposals(me, recorder)
+        self.machine: control_state.Machine | None = None
+        self.agreement: agreement.Agreement | None = None
+        if cfg.control:
+            self._join_agreement(disk, seed)
+        self._view: view.View | None = None
+        self._reach: Reach | None = None
+        self._stored_revision = first.revision
+        self._stored_at = now
+        self._duties_at = now
+        self._proposed_at: dict[object, float] = {}
+        self._stopping = False
+
+    def _join_agreement(self, disk: ports.Disk, seed: int) -> None:
+        self.machine = control_state.Machine()
+        voters = tuple(
+            seed.name for seed in self.cfg.seeds if seed.control
+        )
+        self.agreement = agreement.Agreement(
+            self.cfg,
+            self.cfg.name,
+            voters,
+            disk,
+            self.machine,
+            self._recorder,
+            seed,
+        )
+
+    @property
+    def view(self) -> view.View:
+        """Return the newest view applied here."""
+        return self.spread.view
+
+    def start(self, now: float) -> list[actions.Action]:
+        """Hand the first view to the slices."""
+        return self._settle([], now)
+
+    # Entries for the adapters.
+
+    def message(
+        self,
+        peer: str,
+        msg: object,
+        now: float,
+    ) -> list[actions.Action]:
+        """Take an authentic message of another entry VM."""
+        kind = wire.kind_of(msg)
+        if kind in _MEMBERS:
+            out = self.members.handle(peer, msg, now)
+        elif kind in _PROPOSALS:
+            out = self._proposal(peer, msg, now)
+        elif kind in _AGREEMENT:
+            out = self._agree(peer, msg, now)
+        else:
+            router = self._router(kind)
+            out = [] if router is None else router.handle(peer, msg, now)
+        return self._settle(out, now)
+
+    def _agree(
+        self,
+        peer: str,
+        msg: object,
+        now: float,
+    ) -> list[actions.Action]:
+        if self.agreement is None:
+            return []
+        handle = self.agreement.handle
+        return self._control.run(functools.partial(handle, peer, msg, now))
+
+    def _router(self, kind: int) -> Router | None:
+        if kind in _SPREAD:
+            return self.spread
+        if kind in _FLOWS:
+            return self.flows
+        if kind in _REQUESTS:
+            return self.requests
+        if kind in _UPSTREAMS:
+            return self.upstreams
+        return None
+
+    def packet(self, data: bytes, now: float) -> list[actions.Action]:
+        """Take a packet that the fabric handed over."""
+        return self.flows.packet(data, now)
+
+    def settle(
+        self,
+        out: list[actions.Action],
+        now: float,
+    ) -> list[actions.Action]:
+        """Carry out what stays inside and return the rest.
+
+        Adapters that call a slice directly pass its actions through here.
+        """
+        return self._settle(out, now)
+
+    def tick(self, now: float) -> list[actions.Action]:
+        """Do what is due in every slice."""
+        out = self.members.tick(now)
+        self._lead(now)
+        out += self.spread.tick(now)
+        out += self.proposals.tick(now)
+        if self.agreement is not None:
+            tick = functools.partial(self.agreement.tick, now)
+            out += self._control.run(tick)
+        out += self.flows.tick(now)
+        out += self.upstreams.tick(now)
+        out += self.requests.tick(now)
+        out += self.intents.tick(now)
+        out += self._duties(now)
+        out = self._settle(out, now)
+        self._store(now)
+        return out
+
+    def stop(self, now: float) -> list[actions.Action]:
+        """Begin a planned stop: hand over and take nothing new."""
+        self._stopping = True
+        out = self.flows.stop(now)
+        out += self.requests.stop(now)
+        return self._settle(out, now)
+
+    def idle(self) -> bool:
+        """Return whether a planned stop cuts nothing any more."""
+        return self.requests.idle()
+
+    # Inside.
+
+    def _lead(self, now: float) -> None:
+        term = None
+        if self.agreement is not None and self.agreement.may_read(now):
+            term = self.agreement.term
+        self.spread.lead(term, now)
+
+    def _duties(self, now: float) -> list[actions.Action]:
+        if now < self._duties_at:
+            return []
+        self._duties_at = now + DUTIES_EVERY_S
+        due: list[object] = []
+        if self.agreement is not None and self.agreement.may_read(now):
+            due += leader_duties.due(
+                self.cfg,
+                self.machine.view,
+                self.spread.applied(now),
+                self.spread.lapsed(now),
+            )
+        if self.spread.leased(now):
+            mark = own_mark.due(
+                self.view,
+                self.cfg.name,
+                self.incarnation,
+                self._stopping,
+            )
+            due += [] if mark is None else [mark]
+        return [
+            actions.Propose("node:", command)
+            for command in due
+            if self._is_fresh(command, now)
+        ]
+
+    def _is_fresh(self, command: object, now: float) -> bool:
+        """Return whether a command wasn't proposed just now."""
+        recent = {
+            other: at
+            for other, at in self._proposed_at.items()
+            if now - at < PROPOSE_AGAIN_S
+        }
+        self._proposed_at = recent
+        if command in recent:
+            return False
+        recent[command] = now
+        return True
+
+    def _proposal(
+        self,
+        peer: str,
+        msg: object,
+        now: float,
+    ) -> list[actions.Action]:
+        if isinstance(msg, spread_messages.ForwardedEnd):
+            return self.proposals.ended(msg)
+        if self.agreement is None:
+            return []
+        try:
+            return [self.proposals.taken(peer, msg, now)]
+        except errors.WireError:
+            self._recorder.refused(reasons.Refusal.FRAME_MALFORMED)
+            return []
+
+    def _settle(
+        self,
+        out: list[actions.Action],
+        now: float,
+    ) -> list[actions.Action]:
+        outward: list[actions.Action] = []
+        todo = list(out)
+        while True:
+            todo += self._sync(now)
+            if not todo:
+                return outward
+            batch, todo = todo, []
+            for action in batch:
+                if isinstance(action, actions.Propose):
+                    todo += self._propose(action, now)
+                elif isinstance(action, actions.Decided):
+                    todo += self._decided(action, now)
+                elif (
+                    isinstance(action, actions.Send)
+                    and action.peer == self.cfg.name
+                ):
+                    todo += self._to_self(action, now)
+                else:
+                    outward.append(action)
+
+    def _to_self(
+        self,
+        action: actions.Send,
+        now: float,
+    ) -> list[actions.Action]:
+        kind = wire.kind_of(action.msg)
+        router = self._router(kind)
+        if router is None:
+            return []
+        return router.handle(self.cfg.name, action.msg, now)
+
+    def _propose(
+        self,
+        action: actions.Propose,
+        now: float,
+    ) -> list[actions.Action]:
+        if self.agreement is not None:
+            propose = functools.partial(
+                self.agreement.propose,
+                action.token,
+                action.command,
+                now,
+            )
+            return self._control.run(propose)
+        return self.proposals.forward(action, self._control_vm(), now)
+
+    def _control_vm(self) -> str:
+        alive = self.members.alive()
+        if self.spread.leader in alive:
+            return self.spread.leader
+        return next(
+            (
+                vm.name
+                for vm in self.view.vms
+                if vm.control and vm.name in alive
+            ),
+            "",
+        )
+
+    def _decided(
+        self,
+        end: actions.Decided,
+        now: float,
+    ) -> list[actions.Action]:
+        if end.token.startswith("forwarded:"):
+            return self.proposals.ended_here(end)
+        if end.token.startswith("intents:"):
+            return self.intents.decided(end, now)
+        return []
+
+    def _sync(self, now: float) -> list[actions.Action]:
+        """Tell the slices what has changed around them."""
+        out = self._take_effects(now)
+        if self.view is not self._view:
+            self._view = self.view
+            for part in (
+                self.members,
+                self.flows,
+                self.upstreams,
+                self.requests,
+                self.intents,
+            ):
+                out += part.changed(self._view, now)
+        reach = Reach(self.members.alive(), self.spread.leased(now))
+        if reach != self._reach:
+            self._reach = reach
+            self.spread.reach(reach.alive)
+            for part in (self.flows, self.upstreams, self.requests):
+                out += part.reach(reach.alive, reach.leased, now)
+        for service in sorted(self.upstreams.ready()):
+            out += self.requests.pump(service, now)
+        return out
+
+    def _take_effects(self, now: float) -> list[actions.Action]:
+        if self.machine is None:
+            return []
+        out: list[actions.Action] = []
+        for effect in self.machine.effects():
+            out += self.spread.offer(effect.revision, effect.command, now)
+        if self.machine.view.revision > self.view.revision:
+            self.spread.adopt(self.machine.view)
+        return out
+
+    def _store(self, now: float) -> None:
+        if now - self._stored_at < STORE_EVERY_S:
+            return
+        if self.view.revision == self._stored_revision:
+            return
+        self._stored_at = now
+        self._stored_revision = self.view.revision
+        self._disk.replace(VIEW_FILE, self.spread.stored())
--- a/ebonytally/settings.py
+++ b/ebonytally/settings.py
@@ -143,6 +143,7 @@
     :param data_folder: folder for durable state, relative to the file
     :param cluster_key: 32 bytes in hex, the same at every entry VM
     :param seeds: entry VMs known at the start, this one among them
+    :param fabric: ``ip:port`` that takes packets to callers, "" for none
     """
 
     name: str
@@ -154,6 +155,7 @@
     seeds: tuple[Seed, ...]
     operators: tuple[Operator, ...] = ()
     control: bool = False
+    fabric: str = ""
     ports: Ports = attrs.field(factory=Ports)
     flows: Flows = attrs.field(factory=Flows)
     requests: Requests = attrs.field(factory=Requests)
@@ -312,6 +314,8 @@
         yield f"address: {cfg.address!r} is no IPv4 address"
     if not _HEX_KEY.fullmatch(cfg.cluster_key):
         yield "cluster_key: is not 64 hex digits"
+    if cfg.fabric and not _is_endpoint(cfg.fabric):
+        yield f"fabric: {cfg.fabric!r} is not ip:port or empty"
 
 
 def _seed_faults(cfg: Settings) -> typing.Iterator[str]:
@@ -399,6 +403,13 @@
     return True
 
 
+def _is_endpoint(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    if not port.isdigit():
+        return False
+    return _is_address(host) and 1 <= int(port) <= 65535
+
+
 def _folder_fault(folder: pathlib.Path) -> str:
     try:
         folder.mkdir(parents=True, exist_ok=True)
