--- a/ebonytally/members.py
+++ b/ebonytally/members.py
@@ -84,6 +84,13 @@
             if peer.health == messages.Health.DEAD
         )
 
+    def silent_s(self, name: str, now: float) -> float:
+        """Return seconds since a VM stopped being alive, 0 if it is."""
+        peer = self._peers.get(name)
+        if peer is None or peer.health == messages.Health.ALIVE:
+            return 0.0
+        return now - peer.since
+
     def changed(self, new: view.View, now: float) -> list[actions.Action]:
         """Take the entry VMs of a newer configuration."""
         names = {vm.name for vm in new.vms} - {self._me}
--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -20,6 +20,7 @@
 from ebonytally import leader_duties
 from ebonytally import members
 from ebonytally import own_mark
+from ebonytally import plan_messages
 from ebonytally import ports
 from ebonytally import proposals
 from ebonytally import reasons
@@ -29,6 +30,7 @@
 from ebonytally import spread
 from ebonytally import spread_history
 from ebonytally import spread_messages
+from ebonytally import status
 from ebonytally import upstreams
 from ebonytally import view
 from ebonytally import wire
@@ -161,7 +163,7 @@
             recorder,
             seed,
         )
-        self.intents = intents.Intents(cfg, me, recorder, seed)
+        self.intents = intents.Intents(cfg, recorder, incarnation)
         self.proposals = proposals.Proposals(me, recorder)
         self.machine: control_state.Machine | None = None
         self.agreement: agreement.Agreement | None = None
@@ -191,9 +193,9 @@
         )
 
     @property
-    def view(self) -> view.View:
+    def present(self) -> view.View:
         """Return the newest view applied here."""
-        return self.spread.view
+        return self.spread.present
 
     def start(self, now: float) -> list[actions.Action]:
         """Hand the first view to the slices."""
@@ -286,6 +288,36 @@
         """Return whether a planned stop cuts nothing any more."""
         return self.requests.idle()
 
+    def facts(self, now: float, wall: float) -> status.NodeFacts:
+        """Return what this VM knows beyond the view.
+
+        :param wall: seconds since 1970
+        """
+        alive = self.members.alive() | {self.cfg.name}
+        silent = tuple(
+            status.SilentVm(vm.name, self.members.silent_s(vm.name, now))
+            for vm in self.present.vms
+            if vm.name not in alive
+        )
+        loads = tuple(
+            plan_messages.UpstreamLoad(upstream, count)
+            for upstream, count in sorted(self.flows.open_flows().items())
+        )
+        load = plan_messages.Facts(
+            loads,
+            1,
+            tuple(vm.name for vm in silent),
+        )
+        return status.NodeFacts(
+            me=self.cfg.name,
+            leader=self.spread.leader,
+            leased=self.spread.leased(now),
+            wall=wall,
+            silent=silent,
+            load=load,
+            stopping=self._stopping,
+        )
+
     # Inside.
 
     def _lead(self, now: float) -> None:
@@ -308,7 +340,7 @@
             )
         if self.spread.leased(now):
             mark = own_mark.due(
-                self.view,
+                self.present,
                 self.cfg.name,
                 self.incarnation,
                 self._stopping,
@@ -339,11 +371,11 @@
         msg: object,
         now: float,
     ) -> list[actions.Action]:
-        if isinstance(msg, spread_messages.ForwardedEnd):
-            return self.proposals.ended(msg)
-        if self.agreement is None:
-            return []
         try:
+            if isinstance(msg, spread_messages.ForwardedEnd):
+                return self.proposals.ended(msg)
+            if self.agreement is None:
+                return []
             return [self.proposals.taken(peer, msg, now)]
         except errors.WireError:
             self._recorder.refused(reasons.Refusal.FRAME_MALFORMED)
@@ -407,7 +439,7 @@
         return next(
             (
                 vm.name
-                for vm in self.view.vms
+                for vm in self.present.vms
                 if vm.control and vm.name in alive
             ),
             "",
@@ -420,21 +452,20 @@
     ) -> list[actions.Action]:
         if end.token.startswith("forwarded:"):
             return self.proposals.ended_here(end)
-        if end.token.startswith("intents:"):
-            return self.intents.decided(end, now)
+        if self.intents.owns(end.token):
+            return self.intents.ended(end, now)
         return []
 
     def _sync(self, now: float) -> list[actions.Action]:
         """Tell the slices what has changed around them."""
         out = self._take_effects(now)
-        if self.view is not self._view:
-            self._view = self.view
+        if self.present is not self._view:
+            self._view = self.present
             for part in (
                 self.members,
                 self.flows,
                 self.upstreams,
                 self.requests,
-                self.intents,
             ):
                 out += part.changed(self._view, now)
         reach = Reach(self.members.alive(), self.spread.leased(now))
@@ -453,15 +484,15 @@
         out: list[actions.Action] = []
         for effect in self.machine.effects():
             out += self.spread.offer(effect.revision, effect.command, now)
-        if self.machine.view.revision > self.view.revision:
+        if self.machine.view.revision > self.present.revision:
             self.spread.adopt(self.machine.view)
         return out
 
     def _store(self, now: float) -> None:
         if now - self._stored_at < STORE_EVERY_S:
             return
-        if self.view.revision == self._stored_revision:
+        if self.present.revision == self._stored_revision:
             return
         self._stored_at = now
-        self._stored_revision = self.view.revision
+        self._stored_revision = self.present.revision
         self._disk.replace(VIEW_FILE, self.spread.stored())
--- a/ebonytally/proposals.py
+++ b/ebonytally/proposals.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ebonytally import actions
+from ebonytally import agreement_results
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import spread_messages as messages
@@ -67,15 +68,21 @@
         origin = self._origins.pop(token, None)
         if origin is None:
             return []
-        reply = messages.ForwardedEnd(token, end.ok, end.reason)
+        result = agreement_results.pack(end.result)
+        reply = messages.ForwardedEnd(token, end.ok, end.reason, result)
         return [actions.Send(origin[0], reply)]
 
     def ended(self, msg: messages.ForwardedEnd) -> list[actions.Action]:
-        """Take the end of a proposal that was forwarded from here."""
+        """Take the end of a proposal that was forwarded from here.
+
+        :raises WireError: when the answer can't be read
+        """
         waiting = self._waiting.pop(msg.token, None)
         if waiting is None:
             return []
-        return [actions.Decided(waiting.token, msg.ok, None, msg.reason)]
+        result = agreement_results.unpack(msg.result)
+        end = actions.Decided(waiting.token, msg.ok, result, msg.reason)
+        return [end]
 
     def tick(self, now: float) -> list[actions.Action]:
         """Give up on proposals that nobody answered."""
--- a/ebonytally/spread.py
+++ b/ebonytally/spread.py
@@ -81,7 +81,7 @@
         self._had_lease = False
 
     @property
-    def view(self) -> view.View:
+    def present(self) -> view.View:
         """Return the newest view that this VM has applied."""
         return self._history.view
 
@@ -155,7 +155,7 @@
         below = spread_tree.children(
             self._me,
             self._grant.leader,
-            self.view.vms,
+            self.present.vms,
             self._alive,
         )
         return tuple(name for name in below if name not in self._excluded)
@@ -201,7 +201,7 @@
         out: list[actions.Action] = [actions.Send(peer, self._report(now))]
         if newer:
             out += self._grants(now)
-        if msg.revision > self.view.revision:
+        if msg.revision > self.present.revision:
             out += self._pull(peer, now)
         return out
 
@@ -210,7 +210,7 @@
             return []
         self._pulled_at = now
         self._recorder.retried(reasons.Retry.SPREAD_GAP)
-        return [actions.Send(peer, messages.Pull(self.view.revision))]
+        return [actions.Send(peer, messages.Pull(self.present.revision))]
 
     def _pulled(
         self,
@@ -235,9 +235,9 @@
         now: float,
     ) -> list[actions.Action]:
         last = msg.first + len(msg.commands) - 1
-        if last <= self.view.revision:
+        if last <= self.present.revision:
             return []
-        if msg.first > self.view.revision + 1:
+        if msg.first > self.present.revision + 1:
             return self._pull(peer, now)
         out: list[actions.Action] = []
         for offset, packed in enumerate(msg.commands):
@@ -249,7 +249,7 @@
         return out
 
     def _whole(self, msg: messages.WholeView) -> list[actions.Action]:
-        if msg.revision <= self.view.revision:
+        if msg.revision <= self.present.revision:
             return []
         try:
             new = spread_history.open_whole(msg)
@@ -262,20 +262,20 @@
     # Reports.
 
     def _names(self) -> list[str]:
-        return sorted(vm.name for vm in self.view.vms)
+        return sorted(vm.name for vm in self.present.vms)
 
     def _report(self, now: float) -> messages.Report:
         names = self._names()
         heard = {self._me}
         current = {self._me}
-        revision = self.view.revision
+        revision = self.present.revision
         for name, child in self._fresh(now).items():
             heard |= child.heard | {name}
             if child.revision >= revision:
                 current |= child.current
         return messages.Report(
             stamp=now,
-            applied=self.view.revision,
+            applied=self.present.revision,
             names=zlib.crc32("\n".join(names).encode()),
             heard=_bitmap(names, heard),
             current=_bitmap(names, current),
@@ -366,7 +366,7 @@
         return messages.Lease(
             grant.term,
             grant.leader,
-            self.view.revision,
+            self.present.revision,
             grant.until - now,
             echo,
             grant.seq,
@@ -395,7 +395,7 @@
 
     def applied(self, now: float) -> dict[str, int]:
         """Return the newest revision known to be applied, by VM."""
-        out = {self._me: self.view.revision}
+        out = {self._me: self.present.revision}
         for child in self._fresh(now).values():
             for name in child.current:
                 out[name] = max(out.get(name, 0), child.revision)
--- a/ebonytally/spread_messages.py
+++ b/ebonytally/spread_messages.py
@@ -91,8 +91,12 @@
 @wire.message(21)
 @attrs.frozen
 class ForwardedEnd:
-    """How a forwarded proposal ended."""
+    """How a forwarded proposal ended.
+
+    :param result: packed answer of the state machine, b"" for none
+    """
 
     token: str
     ok: bool
     reason: str = ""
+    result: bytes = b""
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,116 @@
+"""Tests of the failure detector."""
+
+import pytest
+
+from ebonytally import members
+from ebonytally import recorder
+from ebonytally import view
+from tests import virtual_net
+
+NAMES = ("a", "b", "c", "d", "e")
+
+
+def _view(names=NAMES) -> view.View:
+    vms = tuple(
+        view.Vm(name, "127.0.0.1", name, "west", False) for name in names
+    )
+    return view.View(revision=1, vms=vms)
+
+
+def _start(seed: int = 1, names=NAMES) -> virtual_net.Net:
+    net = virtual_net.Net(seed)
+    for index, name in enumerate(names):
+        net.parts[name] = members.Members(
+            virtual_net.cfg(name),
+            name,
+            100 + index,
+            recorder.MemoryRecorder(),
+            seed + index,
+        )
+        net.parts[name].changed(_view(names), 0.0)
+    return net
+
+
+def _others(name: str) -> frozenset[str]:
+    return frozenset(NAMES) - {name}
+
+
+def test_all_are_alive_in_peace():
+    net = _start()
+    net.run(30.0)
+    for name, part in net.parts.items():
+        assert part.alive() == _others(name)
+
+
+def test_a_lost_vm_is_dead_everywhere_within_seconds():
+    net = _start()
+    net.run(5.0)
+    del net.parts["c"]
+    net.run(5.0)
+    for part in net.parts.values():
+        assert "c" in part.dead()
+
+
+def test_a_returned_vm_is_alive_again():
+    net = _start()
+    lost = net.parts.pop("c")
+    net.run(6.0)
+    net.parts["c"] = lost
+    net.run(4.0)
+    for name, part in net.parts.items():
+        assert part.alive() == _others(name)
+
+
+def test_one_cut_between_two_is_no_death():
+    net = _start()
+    net.run(2.0)
+    net.cut = {("a", "b"), ("b", "a")}
+    for _ in range(200):
+        net.run(0.2)
+        assert "b" not in net.parts["a"].dead()
+        assert "a" not in net.parts["b"].dead()
+
+
+def test_a_one_way_cut_does_not_flap():
+    net = _start()
+    net.run(2.0)
+    net.cut = {("a", other) for other in ("b", "c")}
+    recorders = [part._recorder for part in net.parts.values()]
+    before = sum(len(item.events) for item in recorders)
+    net.run(30.0)
+    for part in net.parts.values():
+        assert part.dead() == frozenset()
+    changes = sum(len(item.events) for item in recorders) - before
+    assert changes <= 60
+
+
+def test_a_slow_vm_does_not_get_everyone_suspected():
+    net = _start()
+    net.run(2.0)
+    net.cut = {(other, "e") for other in NAMES if other != "e"}
+    net.run(6.0)
+    for name in ("a", "b", "c", "d"):
+        others = _others(name) - {"e"}
+        assert others <= net.parts[name].alive()
+
+
+def test_a_partition_is_seen_on_both_sides_and_heals():
+    net = _start()
+    net.run(2.0)
+    net.isolate({"a", "b"})
+    net.run(6.0)
+    assert net.parts["a"].alive() == {"b"}
+    assert net.parts["d"].alive() == {"c", "e"}
+    net.heal()
+    net.run(5.0)
+    for name, part in net.parts.items():
+        assert part.alive() == _others(name)
+
+
+@pytest.mark.parametrize("count", [5, 40])
+def test_cost_for_each_vm_does_not_grow(count):
+    names = tuple(f"vm-{index}" for index in range(count))
+    net = _start(names=names)
+    net.run(20.0)
+    each = net.sent / count / 20.0
+    assert each <= 6.0
