--- a/ebonytally/daemon.py
+++ b/ebonytally/daemon.py
@@ -103,7 +103,7 @@
             intent_port,
             self._recorder,
         )
-        stack.callback(self._intents.stop)
+        stack.callback(self._intents.close)
         announcements = announce_http.AnnouncementServer(
             cfg.address,
             cfg.ports.announcements,
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -87,7 +87,7 @@
         """
         self.customer = customer
         self.folder = folder
-        self._command = command
+        self.command = command
         self._seed = seed
         self.judge_address = f"127.{customer.net}.9.1:7600"
         self.fabric_address = f"127.{customer.net}.9.1:7601"
@@ -172,7 +172,7 @@
 
     def start_daemon(self, daemon: Daemon) -> None:
         """Start one entry VM's daemon."""
-        self._start(daemon.name, [*self._command, "run", daemon.path])
+        self._start(daemon.name, [*self.command, "run", daemon.path])
 
     def start_upstream(self, plan: upstream.Plan) -> None:
         """Start one upstream stand-in."""
