--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -179,9 +179,7 @@
 
     def _join_agreement(self, disk: ports.Disk, seed: int) -> None:
         self.machine = control_state.Machine()
-        voters = tuple(
-            seed.name for seed in self.cfg.seeds if seed.control
-        )
+        voters = tuple(seed.name for seed in self.cfg.seeds if seed.control)
         self.agreement = agreement.Agreement(
             self.cfg,
             self.cfg.name,
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -159,9 +159,7 @@
     def services(self, load: float) -> list[callers.Service]:
         """Return the services, with requests at `load` of full."""
         out = []
-        for index, (name, count) in enumerate(
-            self.customer.endpoints.items()
-        ):
+        for index, (name, count) in enumerate(self.customer.endpoints.items()):
             plan = next(plan for plan in self.plans if plan.service == name)
             full = count * plan.slots / plan.service_s
             address = f"10.{self.customer.net}.0.{index + 1}"
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -69,9 +69,7 @@
 
 def _leased(net):
     return {
-        name
-        for name, part in net.parts.items()
-        if part.slice.leased(net.now)
+        name for name, part in net.parts.items() if part.slice.leased(net.now)
     }
 
 
