Fit the node to the faces that have landed

Cause: first run of the daemons: the upstreams' constructor and the idle property of requests differ from the overview.

--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -152,7 +152,6 @@
         self.upstreams = upstreams.Upstreams(
             cfg,
             me,
-            cfg.data_centre,
             recorder,
             seed,
         )
@@ -284,7 +283,7 @@
 
     def idle(self) -> bool:
         """Return whether a planned stop cuts nothing any more."""
-        return self.requests.idle()
+        return self.requests.idle
 
     def facts(self, now: float, wall: float) -> status.NodeFacts:
         """Return what this VM knows beyond the view.
