--- a/standins/bad_input.py
+++ b/standins/bad_input.py
@@ -17,24 +17,23 @@
 SETTLE_S = 0.3
 
 
-def metric(address: str, name: str) -> float:
-    """Return the sum of a counter at one entry VM, 0 if there is none."""
-    text = _get(address, METRICS_PORT, "/metrics")
-    total = 0.0
-    for line in text.splitlines():
-        if line.startswith(name) and line[len(name)] in "{ ":
-            total += float(line.rsplit(" ", 1)[1])
-    return total
+def counted(address: str, name: str) -> float:
+    """Return a counter of one entry VM by its name, 0 if it isn't."""
+    return _sum(address, "ebonytally_counts_total", f'name="{name}"')
 
 
 def refusals(address: str, reason: str) -> float:
     """Return how often an entry VM refused for a reason."""
+    label = f'reason="{reason}"'
+    return _sum(address, "ebonytally_refusals_total", label)
+
+
+def _sum(address: str, metric: str, label: str) -> float:
     text = _get(address, METRICS_PORT, "/metrics")
-    wanted = f'reason="{reason}"'
     return sum(
         float(line.rsplit(" ", 1)[1])
         for line in text.splitlines()
-        if wanted in line and line.startswith("ebonytally_refusals")
+        if line.startswith(metric) and label in line
     )
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -298,9 +298,9 @@
     def _control_total(self) -> dict[str, float]:
         """Return control bytes sent so far, by entry VM."""
         return {
-            daemon.name: bad_input.metric(
+            daemon.name: bad_input.counted(
                 daemon.address,
-                "ebonytally_control_bytes_sent_total",
+                "control_bytes_sent",
             )
             for daemon in self._deployment.daemons
         }
