--- a/ebonytally/control_task.py
+++ b/ebonytally/control_task.py
@@ -1,7 +1,6 @@
 """One greenlet that runs everything that may wait for the disk."""
 
 from collections.abc import Callable
-import time
 
 import gevent
 from gevent import queue
@@ -9,6 +8,7 @@
 from ebonytally import actions
 
 MAX_WAITING = 4096
+Call = Callable[[], list[actions.Action]]
 
 
 class ControlTask:
@@ -16,18 +16,18 @@
 
     def __init__(
         self,
-        finish: Callable[[list[actions.Action], float], None],
+        execute: Callable[[Call], None],
     ) -> None:
-        """Hand the actions of each call to `finish`."""
-        self._finish = finish
+        """Hand each call to `execute`, which must not fail."""
+        self._execute = execute
         self._calls: queue.Queue = queue.Queue(MAX_WAITING)
         self.greenlet = gevent.spawn(self._work)
 
     def run(
         self,
-        call: Callable[[], list[actions.Action]],
+        call: Call,
     ) -> list[actions.Action]:
-        """Queue a call; its actions go to `finish`.
+        """Queue a call.
 
         A call that finds the queue full is lost like a lost message.
         """
@@ -39,5 +39,4 @@
 
     def _work(self) -> None:
         while True:
-            call = self._calls.get()
-            self._finish(call(), time.monotonic())
+            self._execute(self._calls.get())
--- a/ebonytally/daemon.py
+++ b/ebonytally/daemon.py
@@ -1,8 +1,11 @@
 """The composition root: one node, its adapters and their tasks."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import signal
 import sys
+import traceback
 
 import gevent
 from gevent import event as gevent_event
@@ -57,7 +60,7 @@
         stack.callback(files.close)
         disk = disk_threads.ThreadedDisk(files)
         incarnation = nodes.next_incarnation(disk, self._clock.wall())
-        control = control_task.ControlTask(self._settled)
+        control = control_task.ControlTask(self._control)
         stack.callback(control.greenlet.kill)
         self._node = nodes.Node(
             cfg,
@@ -103,7 +106,7 @@
             intent_port,
             self._recorder,
         )
-        stack.callback(self._intents.close)
+        stack.callback(self._intents.stop)
         announcements = announce_http.AnnouncementServer(
             cfg.address,
             cfg.ports.announcements,
@@ -155,23 +158,42 @@
     def _tick_for_ever(self) -> None:
         while True:
             gevent.sleep(TICK_S)
-            try:
+            with self._guarded("tick", ""):
                 self._perform(self._node.tick(self._clock.now()))
-            except errors.StorageError as exc:
-                self._recorder.event(
-                    events.Event.STORAGE_FAILED,
-                    step=exc.step,
-                    peer=exc.peer,
-                    detail=exc.detail,
-                )
+
+    @contextlib.contextmanager
+    def _guarded(self, step: str, peer: str) -> Iterator[None]:
+        """Keep a task going when one of its steps fails."""
+        try:
+            yield
+        except errors.EbonytallyError as exc:
+            self._recorder.event(
+                events.Event.TASK_FAILED,
+                step=exc.step,
+                peer=exc.peer,
+                detail=exc.detail,
+            )
+        except Exception:
+            self._recorder.event(
+                events.Event.TASK_FAILED,
+                step=step,
+                peer=peer,
+                detail=traceback.format_exc(),
+            )
 
     # What comes in.
 
     def _packet(self, data: bytes) -> None:
-        self._perform(self._node.packet(data, self._clock.now()))
+        with self._guarded("packet", ""):
+            self._perform(self._node.packet(data, self._clock.now()))
 
     def _message(self, peer: str, msg: object) -> None:
-        self._perform(self._node.message(peer, msg, self._clock.now()))
+        with self._guarded(type(msg).__name__, peer):
+            self._perform(self._node.message(peer, msg, self._clock.now()))
+
+    def _control(self, call: Callable[[], list[actions.Action]]) -> None:
+        with self._guarded("control", ""):
+            self._settled(call(), self._clock.now())
 
     def _finish(self, out: list[actions.Action]) -> None:
         self._settled(out, self._clock.now())
@@ -197,6 +219,8 @@
                 self._packets.to_caller(action)
             elif isinstance(action, actions.Reply):
                 self._intents.answer(action)
+            elif isinstance(action, (actions.Propose, actions.Decided)):
+                self._finish([action])
             else:
                 self._requests.perform(action)
 
