Give each proposal a token that never recurs

Cause: after a restart on the same data folder two entry VMs stayed marked as stopping. The log answers a token that it knows without applying, and the node used one token for all its duties, the forwarders counted from 1 again. Ruled out: lost leases (all five gained), lost messages (5 of 5 heard).

--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -40,6 +40,7 @@
 STORE_EVERY_S = 1.0
 DUTIES_EVERY_S = 0.1
 PROPOSE_AGAIN_S = 1.0
+_FORWARDED = "forwarded:"
 _MEMBERS = range(1, 10)
 _SPREAD = range(10, 20)
 _PROPOSALS = range(20, 30)
@@ -163,7 +164,7 @@
             seed,
         )
         self.intents = intents.Intents(cfg, recorder, incarnation)
-        self.proposals = proposals.Proposals(me, recorder)
+        self.proposals = proposals.Proposals(me, incarnation, recorder)
         self.machine: control_state.Machine | None = None
         self.agreement: agreement.Agreement | None = None
         if cfg.control:
@@ -174,6 +175,7 @@
         self._stored_at = now
         self._duties_at = now
         self._proposed_at: dict[object, float] = {}
+        self._proposals_made = 0
         self._stopping = False
 
     def _join_agreement(self, disk: ports.Disk, seed: int) -> None:
@@ -344,7 +346,7 @@
             )
             due += [] if mark is None else [mark]
         return [
-            actions.Propose("node:", command)
+            actions.Propose("node", command)
             for command in due
             if self._is_fresh(command, now)
         ]
@@ -419,6 +421,7 @@
         action: actions.Propose,
         now: float,
     ) -> list[actions.Action]:
+        action = self._once(action)
         if self.agreement is not None:
             propose = functools.partial(
                 self.agreement.propose,
@@ -429,6 +432,20 @@
             return self._control.run(propose)
         return self.proposals.forward(action, self._control_vm(), now)
 
+    def _once(self, action: actions.Propose) -> actions.Propose:
+        """Give a proposal a token that no other one ever has.
+
+        The log answers a token that it knows without applying anything;
+        only intents, which are resent, bring tokens of their own.
+        """
+        token = action.token
+        if token.startswith(_FORWARDED) or self.intents.owns(token):
+            return action
+        self._proposals_made += 1
+        start = f"{self.cfg.name}.{self.incarnation}"
+        unique = f"{start}.{self._proposals_made}/{token}"
+        return actions.Propose(unique, action.command)
+
     def _control_vm(self) -> str:
         alive = self.members.alive()
         if self.spread.leader in alive:
@@ -447,7 +464,7 @@
         end: actions.Decided,
         now: float,
     ) -> list[actions.Action]:
-        if end.token.startswith("forwarded:"):
+        if end.token.startswith(_FORWARDED):
             return self.proposals.ended_here(end)
         if self.intents.owns(end.token):
             return self.intents.ended(end, now)
--- a/ebonytally/proposals.py
+++ b/ebonytally/proposals.py
@@ -22,9 +22,17 @@
 class Proposals:
     """Forwards proposals of a VM that has no log of its own."""
 
-    def __init__(self, me: str, recorder: recorders.Recorder) -> None:
-        """Start with nothing under way."""
-        self._me = me
+    def __init__(
+        self,
+        me: str,
+        incarnation: int,
+        recorder: recorders.Recorder,
+    ) -> None:
+        """Start with nothing under way.
+
+        :param incarnation: of the daemon, so that tokens never recur
+        """
+        self._start = f"{me}.{incarnation}"
         self._recorder = recorder
         self._waiting: dict[str, _Waiting] = {}
         self._origins: dict[str, tuple[str, float]] = {}
@@ -43,7 +51,7 @@
             end = actions.Decided(propose.token, False, None, reason.value)
             return [end]
         self._count += 1
-        token = f"{self._me}/{self._count}"
+        token = f"{self._start}/{self._count}"
         self._waiting[token] = _Waiting(propose.token, now + TIMEOUT_S)
         packed = wire.pack_message(propose.command)
         return [actions.Send(to, messages.Forwarded(token, packed))]
