--- a/ebonytally/slot_broker.py
+++ b/ebonytally/slot_broker.py
@@ -15,7 +15,8 @@
 from ebonytally import warmup
 
 RESEND_S = 0.1
-RECALL_GAP_S = 0.02
+ANSWER_GAP_S = 0.2
+RECALL_GAP_S = 0.1
 NEED_FRESH_S = 1.5
 EXCLUDE_S = 1.0
 RETIRED_BOOTS = 8
@@ -173,7 +174,6 @@
             known.revision = max(known.revision, msg.revision)
         known.wants_hold_s = msg.hold_s
         known.needs = {need.service: need for need in msg.needs}
-        known.due = True
         uses = {use.upstream: use for use in msg.uses}
         same = msg.lender == self._boot
         for upstream, endpoint in self.endpoints.items():
@@ -436,8 +436,10 @@
             if now - peer.received >= self._cfg.upstreams.loan_s:
                 continue
             loans = self._unseen(name)
-            again = loans and now - peer.sent >= RESEND_S
-            if not peer.due and not again:
+            gap_s = RESEND_S if loans else ANSWER_GAP_S
+            renew = peer.received > peer.sent and now - peer.sent >= gap_s
+            again = loans and now - peer.sent >= gap_s
+            if not peer.due and not renew and not again:
                 continue
             out.append((name, self._message(peer, loans, now)))
         return out
--- a/ebonytally/slot_holder.py
+++ b/ebonytally/slot_holder.py
@@ -16,8 +16,8 @@
 from ebonytally import view
 
 RENEW_S = 0.3
-STARVING_GAP_S = 0.02
-WANTING_GAP_S = 0.1
+STARVING_GAP_S = 0.05
+WANTING_GAP_S = 0.25
 IDLE_S = 0.1
 LAST_IDLE_S = 1.0
 ACTIVE_S = 1.0
