Keep idempotency keys with two entry VMs

Cause: a non-idempotent request must run at most once, whatever is lost. Change: a claim goes to the first keeper of its key, then to the second; it is granted when both have recorded it in the same keeper epoch, with a lease, and one of them knows all earlier claims of the key. Keepers hand records over when the view changes; a view names the keeper epoch before it, so that a keeper sees a gap. A refusal of a request with a key is "not run" only after its claim was granted and given up. Table and kept answers are bounded; what was dropped is not vouched for.

--- a/ebonytally/config.py
+++ b/ebonytally/config.py
@@ -33,7 +33,9 @@
     if changed is old:
         return attrs.evolve(old, revision=revision)
     epoch = old.keeper_epoch
+    before = old.keeper_before
     if _keepers(changed) != _keepers(old):
+        before = epoch
         epoch = revision
     config_revision = old.config_revision
     if isinstance(command, _OPERATORS):
@@ -43,6 +45,7 @@
         revision=revision,
         config_revision=config_revision,
         keeper_epoch=epoch,
+        keeper_before=before,
     )
 
 
--- a/ebonytally/reasons.py
+++ b/ebonytally/reasons.py
@@ -47,7 +47,7 @@
     KEY_IN_FUTURE = "key_in_future"
     KEY_STILL_RUNNING = "key_still_running"
     KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
-    KEY_TABLE_FULL = "key_table_full"
+    KEY_ANSWER_NOT_KEPT = "key_answer_not_kept"
     KEY_KEEPER_UNREACHABLE = "key_keeper_unreachable"
     # Announcements of upstreams.
     ANNOUNCEMENT_MALFORMED = "announcement_malformed"
--- a/ebonytally/request_http.py
+++ b/ebonytally/request_http.py
@@ -33,6 +33,7 @@
     400: "Bad Request",
     404: "Not Found",
     409: "Conflict",
+    410: "Gone",
     413: "Content Too Large",
     422: "Unprocessable Content",
     502: "Bad Gateway",
@@ -126,7 +127,7 @@
             body = self._body(handler, environ, head, size)
         except request_handler.RefusedError as exc:
             handler.close_after_answer()
-            return self._refuse(start, exc)
+            return self._refuse(start, exc, environ)
         self._bodies_bytes += len(body)
         try:
             return self._ask(handler, start, head, body)
@@ -315,14 +316,17 @@
         self,
         start: Any,
         exc: request_handler.RefusedError,
+        environ: dict[str, Any],
     ) -> Any:
+        """Refuse what the slice never sees.
+
+        Another copy of a request with a key may have run elsewhere.
+        """
         self._port.refused(exc.reason)
-        answer = actions.Answer(
-            req=0,
-            outcome=actions.Outcome.NOT_RUN,
-            status=exc.status,
-            reason=exc.reason.value,
-        )
+        outcome = actions.Outcome.NOT_RUN
+        if environ.get("HTTP_IDEMPOTENCY_KEY"):
+            outcome = actions.Outcome.OUTCOME_UNKNOWN
+        answer = actions.Answer(0, outcome, exc.status, 0, exc.reason.value)
         return self._own_answer(start, answer)
 
     def _closing(self) -> list[tuple[str, str]]:
--- a/ebonytally/request_retry.py
+++ b/ebonytally/request_retry.py
@@ -17,6 +17,12 @@
     ports.AttemptKind.BROKEN: reasons.Retry.REQUEST_IDEMPOTENT_LOST,
     ports.AttemptKind.SILENT: reasons.Retry.REQUEST_SILENT_CONNECTION,
 }
+_REFUSALS = {
+    ports.AttemptKind.NOT_SENT: reasons.Refusal.REQUEST_UNREACHABLE,
+    ports.AttemptKind.SHED: reasons.Refusal.REQUEST_UPSTREAM_SHED,
+    ports.AttemptKind.LOST: reasons.Refusal.REQUEST_ANSWER_BROKEN,
+    ports.AttemptKind.BROKEN: reasons.Refusal.REQUEST_ANSWER_BROKEN,
+}
 
 
 class Budget:
@@ -55,3 +61,8 @@
     if kind not in NEVER_RUN and not idempotent:
         return None
     return _REASONS.get(kind)
+
+
+def refusal(kind: ports.AttemptKind) -> reasons.Refusal:
+    """Return why a request is refused whose last attempt ended so."""
+    return _REFUSALS.get(kind, reasons.Refusal.REQUEST_DEADLINE)
--- a/ebonytally/requests.py
+++ b/ebonytally/requests.py
@@ -5,44 +5,24 @@
 still holds.
 """
 
-import attrs
-
 from ebonytally import actions
-from ebonytally import events
+from ebonytally import key_claims
+from ebonytally import key_messages
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import recorder as recorders
+from ebonytally import request_answer
 from ebonytally import request_head
+from ebonytally import request_keys
+from ebonytally import request_live
 from ebonytally import request_queue
 from ebonytally import request_retry
 from ebonytally import settings
 from ebonytally import view as views
 
-RETRY_AFTER_S = 1.0
-
-
-@attrs.define
-class _Live:
-    """A request that isn't answered yet.
-
-    :param tried: upstreams that it must not go to again
-    :param attempt: number of the attempt under way, 0 for none
-    :param passing: the answer's first bytes went to the caller
-    :param maybe_ran: an upstream may have run an earlier attempt
-    """
-
-    head: request_head.RequestHead
-    tried: set[int] = attrs.field(factory=set)
-    attempt: int = 0
-    passing: bool = False
-    maybe_ran: bool = False
-
-
-@attrs.frozen
-class _Attempt:
-    req: int
-    service: str
-    upstream: int
+_KIND = ports.AttemptKind
+_Refusal = reasons.Refusal
+_KeyState = key_messages.KeyState
 
 
 class Requests:
@@ -51,6 +31,7 @@
     :param cfg: settings of the daemon
     :param me: name of this entry VM
     :param slots: lends request slots of upstreams
+    :param seed: another one at each start of the daemon
     """
 
     def __init__(
@@ -63,14 +44,13 @@
     ) -> None:
         """Start with an empty view."""
         self._cfg = cfg.requests
-        self._me = me
         self._slots = slots
         self._recorder = recorder
-        self._view = views.View()
+        self._keys = request_keys.RequestKeys(cfg, me, recorder, seed)
         self._services: dict[str, views.Service] = {}
         self._upstreams: dict[str, frozenset[int]] = {}
-        self._live: dict[int, _Live] = {}
-        self._attempts: dict[int, _Attempt] = {}
+        self._live: dict[int, request_live.Live] = {}
+        self._attempts: dict[int, request_live.Attempt] = {}
         self._next_attempt = 1
         self._queues: dict[str, request_queue.Queue] = {}
         self._budget = request_retry.Budget(cfg.requests.retry_share)
@@ -78,8 +58,14 @@
 
     @property
     def idle(self) -> bool:
-        """Tell whether no request is in hand."""
-        return not self._live and not self._attempts
+        """Tell whether no request is in hand and no key is left here."""
+        in_hand = self._live or self._attempts
+        return not in_hand and self._keys.idle
+
+    @property
+    def key_count(self) -> int:
+        """Return the number of keys that are kept here."""
+        return self._keys.keeper.size
 
     def request(
         self,
@@ -87,12 +73,11 @@
         now: float,
     ) -> list[actions.Action]:
         """Take a caller's request."""
-        refusal = self._refusal(head, now)
-        self._live[head.req] = _Live(head)
-        if refusal:
-            return self._not_run(head.req, refusal)
-        self._budget.first_try()
-        return self._enqueue(head, now, first=False)
+        live = request_live.Live(head, refusal=self._refusal(head, now))
+        self._live[head.req] = live
+        if live.keyed:
+            return self._claim(live, now)
+        return self._admit(live, now)
 
     def attempt_done(
         self,
@@ -109,22 +94,21 @@
         if live is None or live.attempt != attempt:
             return acts + self.pump(made.service, now)
         live.attempt = 0
-        if result.kind is ports.AttemptKind.ANSWERED:
-            queue = self._queue(live.head.service)
+        if result.kind is _KIND.ANSWERED:
+            queue = self._queue(made.service)
             queue.times.finished(result.took_s, now)
-            acts += self._passed_on(live, attempt, result)
+            acts += self._passed_on(live, attempt, result, now)
         else:
             acts += self._failed(live, made.upstream, result, now)
-        return acts + self.pump(live.head.service, now)
+        return acts + self.pump(made.service, now)
 
     def passing(self, attempt: int) -> bool:
         """Note that an answer begins to go to the caller.
 
         :return: False when the answer isn't wanted any more
         """
-        made = self._attempts.get(attempt)
-        live = made and self._live.get(made.req)
-        if not live or live.attempt != attempt:
+        live = self._live_of(attempt)
+        if live is None or live.gone:
             return False
         live.passing = True
         return True
@@ -136,11 +120,10 @@
         one to the same upstream could be made. A non-idempotent request
         is left to its deadline: its upstream may only be slow.
         """
-        made = self._attempts.get(attempt)
-        live = made and self._live.get(made.req)
-        if not live or not live.head.idempotent or live.passing:
+        live = self._live_of(attempt)
+        if live is None or not live.head.idempotent or live.passing:
             return False
-        times = self._queue(made.service).times
+        times = self._queue(live.head.service).times
         if times.longest_s >= self._cfg.silent_s:
             return False
         return self._budget.left and now + times.mean_s <= live.head.deadline
@@ -155,25 +138,31 @@
         return found.max_request_bytes if found else 0
 
     def cancelled(self, req: int, now: float) -> list[actions.Action]:
-        """Forget a request whose caller went away."""
-        live = self._live.pop(req, None)
+        """Take that a caller went away.
+
+        A request with a key that is under way goes on: its caller can
+        come back for the first outcome. Any other is cancelled.
+        """
+        live = self._live.get(req)
         if live is None:
             return []
-        self._recorder.refused(reasons.Refusal.REQUEST_CANCELLED)
+        self._recorder.refused(_Refusal.REQUEST_CANCELLED)
+        if live.keyed and live.attempt:
+            live.gone = True
+            return []
+        del self._live[req]
         if live.attempt:
             return [actions.Cancel(live.attempt)]
         self._queue(live.head.service).remove(req)
-        return []
+        return self._keys.ended(req, _KeyState.NOT_RUN, now)
 
     def pump(self, service: str, now: float) -> list[actions.Action]:
         """Start waiting requests; called when slots have come."""
         acts: list[actions.Action] = []
         queue = self._queue(service)
         for head in queue.expired(now):
-            acts += self._not_run(
-                head.req,
-                reasons.Refusal.REQUEST_DEADLINE,
-            )
+            live = self._live[head.req]
+            acts += self._not_run(live, _Refusal.REQUEST_DEADLINE, now)
         for head in queue.waiting():
             started = self._start(head, now)
             if started is not None:
@@ -195,11 +184,15 @@
         now: float,
     ) -> list[actions.Action]:
         """Take a message from another entry VM."""
-        return []
+        return self._keys.handle(peer, msg, now) + self._decided(now)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse what can't be done in time any more."""
-        acts: list[actions.Action] = []
+        acts = self._keys.tick(now) + self._decided(now)
+        for live in list(self._live.values()):
+            if live.claiming and now >= live.head.deadline:
+                reason = _Refusal.KEY_KEEPER_UNREACHABLE
+                acts += self._unknown(live, reason, now, _KeyState.NOT_RUN)
         for service, queue in self._queues.items():
             if len(queue):
                 acts += self.pump(service, now)
@@ -210,8 +203,7 @@
         new: views.View,
         now: float,
     ) -> list[actions.Action]:
-        """Take a newer configuration."""
-        self._view = new
+        """Take a newer configuration; each revision, one by one."""
         self._services = {item.name: item for item in new.services}
         self._upstreams = {
             name: frozenset(
@@ -221,6 +213,7 @@
             )
             for name in self._services
         }
+        self._keys.changed(new, now)
         return []
 
     def reach(
@@ -230,8 +223,14 @@
         now: float,
     ) -> list[actions.Action]:
         """Take which entry VMs are heard, and whether the lease holds."""
+        self._keys.keeper.reach(leased, now)
         return []
 
+    def _live_of(self, attempt: int) -> request_live.Live | None:
+        made = self._attempts.get(attempt)
+        live = self._live.get(made.req) if made else None
+        return live if live and live.attempt == attempt else None
+
     def _queue(self, service: str) -> request_queue.Queue:
         if service not in self._queues:
             self._queues[service] = request_queue.Queue()
@@ -242,28 +241,76 @@
         head: request_head.RequestHead,
         now: float,
     ) -> reasons.Refusal | None:
+        """Return why a request can't be taken in now."""
         service = self._services.get(head.service)
         if service is None:
-            return reasons.Refusal.REQUEST_UNKNOWN_SERVICE
+            return _Refusal.REQUEST_UNKNOWN_SERVICE
         if self._stopping:
-            return reasons.Refusal.REQUEST_STOPPING
+            return _Refusal.REQUEST_STOPPING
         if head.body_bytes > service.max_request_bytes:
-            return reasons.Refusal.REQUEST_OVERSIZED
+            return _Refusal.REQUEST_OVERSIZED
         queue = self._queue(head.service)
         if len(queue) >= service.max_queue:
-            return reasons.Refusal.REQUEST_QUEUE_FULL
+            return _Refusal.REQUEST_QUEUE_FULL
         if not queue.can_end(head, now):
-            return reasons.Refusal.REQUEST_DEADLINE
+            return _Refusal.REQUEST_DEADLINE
         return None
 
-    def _enqueue(
+    def _claim(
         self,
-        head: request_head.RequestHead,
+        live: request_live.Live,
+        now: float,
+    ) -> list[actions.Action]:
+        """Claim the right to run a request that must run at most once.
+
+        Also one that can't be taken in: until its claim is granted
+        nobody knows whether another copy of it ran.
+        """
+        fault = self._keys.fault(live.head)
+        if fault is None:
+            live.claiming = True
+            acts = self._keys.begin(live.head, now)
+            return acts + self._decided(now)
+        if self._keys.never_used(live.head):
+            return self._not_run(live, fault, now)
+        return self._unknown(live, fault, now)
+
+    def _decided(self, now: float) -> list[actions.Action]:
+        acts: list[actions.Action] = []
+        for decision in self._keys.decisions():
+            live = self._live.get(decision.req)
+            if live is None:
+                continue
+            live.claiming = False
+            if decision.verdict is key_messages.Verdict.GRANTED:
+                acts += self._admit(live, now)
+            else:
+                acts += self._refused_claim(live, decision, now)
+        return acts
+
+    def _refused_claim(
+        self,
+        live: request_live.Live,
+        decision: key_claims.Decision,
         now: float,
-        first: bool,
     ) -> list[actions.Action]:
-        self._queue(head.service).push(head, first)
-        return self.pump(head.service, now)
+        del self._live[live.head.req]
+        answer = request_answer.of_claim(live.head.req, decision)
+        request_answer.note(self._recorder, live.head, answer)
+        released = self._keys.ended(live.head.req, _KeyState.NOT_RUN, now)
+        return [answer, *released]
+
+    def _admit(
+        self,
+        live: request_live.Live,
+        now: float,
+    ) -> list[actions.Action]:
+        refusal = live.refusal or self._refusal(live.head, now)
+        if refusal:
+            return self._not_run(live, refusal, now)
+        self._budget.first_try()
+        self._queue(live.head.service).push(live.head, first=False)
+        return self.pump(live.head.service, now)
 
     def _start(
         self,
@@ -283,7 +330,7 @@
         number = self._next_attempt
         self._next_attempt += 1
         live.attempt = number
-        self._attempts[number] = _Attempt(
+        self._attempts[number] = request_live.Attempt(
             head.req,
             head.service,
             upstream.id,
@@ -299,31 +346,32 @@
 
     def _passed_on(
         self,
-        live: _Live,
+        live: request_live.Live,
         attempt: int,
         result: ports.AttemptResult,
+        now: float,
     ) -> list[actions.Action]:
-        del self._live[live.head.req]
-        outcome = actions.Outcome.ANSWERED
-        if result.status >= 500:
-            outcome = actions.Outcome.FAILED_AFTER_RUNNING
-        return [
-            actions.Answer(
-                req=live.head.req,
-                outcome=outcome,
-                status=result.status,
-                attempt=attempt,
-            ),
-        ]
+        req = live.head.req
+        del self._live[req]
+        answer = request_answer.of_upstream(req, attempt, result)
+        failed = answer.outcome is actions.Outcome.FAILED_AFTER_RUNNING
+        state = _KeyState.FAILED if failed else _KeyState.ANSWERED
+        kept = key_messages.KeptAnswer(
+            status=result.status,
+            headers=result.headers,
+            body=result.body,
+            has_body=result.has_body,
+        )
+        return [answer, *self._keys.ended(req, state, now, kept)]
 
     def _failed(
         self,
-        live: _Live,
+        live: request_live.Live,
         upstream: int,
         result: ports.AttemptResult,
         now: float,
     ) -> list[actions.Action]:
-        if result.kind is not ports.AttemptKind.SILENT:
+        if result.kind is not _KIND.SILENT:
             live.tried.add(upstream)
         if result.kind not in request_retry.NEVER_RUN:
             live.maybe_ran = True
@@ -332,97 +380,51 @@
             self._recorder.retried(retry)
             self._queue(live.head.service).push(live.head, first=True)
             return []
+        refusal = request_retry.refusal(result.kind)
         if result.kind in request_retry.NEVER_RUN:
-            refusal = reasons.Refusal.REQUEST_UNREACHABLE
-            if result.kind is ports.AttemptKind.SHED:
-                refusal = reasons.Refusal.REQUEST_UPSTREAM_SHED
-            return self._not_run(live.head.req, refusal)
-        refusal = reasons.Refusal.REQUEST_ANSWER_BROKEN
-        if result.kind in _LATE:
-            refusal = reasons.Refusal.REQUEST_DEADLINE
-        return self._unknown(live.head.req, refusal)
-
-    def _may_retry(self, live: _Live, now: float) -> bool:
+            return self._not_run(live, refusal, now)
+        return self._unknown(live, refusal, now)
+
+    def _may_retry(self, live: request_live.Live, now: float) -> bool:
         known = self._upstreams.get(live.head.service, frozenset())
-        if known <= live.tried:
+        if live.gone or known <= live.tried:
             return False
         mean_s = self._queue(live.head.service).times.mean_s
         if now + mean_s > live.head.deadline:
             return False
         if self._budget.spend():
             return True
-        self._recorder.refused(reasons.Refusal.REQUEST_RETRY_BUDGET)
+        self._recorder.refused(_Refusal.REQUEST_RETRY_BUDGET)
         return False
 
     def _not_run(
         self,
-        req: int,
+        live: request_live.Live,
         refusal: reasons.Refusal,
+        now: float,
     ) -> list[actions.Action]:
-        if self._live[req].maybe_ran:
-            return self._unknown(req, refusal)
-        return self._refused(
-            req,
-            actions.Outcome.NOT_RUN,
-            _NOT_RUN_STATUS.get(refusal, 503),
-            refusal,
-        )
+        """Refuse a request that didn't run, if that is certain."""
+        if live.maybe_ran:
+            return self._unknown(live, refusal, now)
+        req = live.head.req
+        del self._live[req]
+        answer = request_answer.not_run(req, refusal)
+        request_answer.note(self._recorder, live.head, answer)
+        return [answer, *self._keys.ended(req, _KeyState.NOT_RUN, now)]
 
     def _unknown(
         self,
-        req: int,
-        refusal: reasons.Refusal,
-    ) -> list[actions.Action]:
-        late = refusal is reasons.Refusal.REQUEST_DEADLINE
-        return self._refused(
-            req,
-            actions.Outcome.OUTCOME_UNKNOWN,
-            504 if late else 502,
-            refusal,
-        )
-
-    def _refused(
-        self,
-        req: int,
-        outcome: actions.Outcome,
-        status: int,
+        live: request_live.Live,
         refusal: reasons.Refusal,
+        now: float,
+        state: key_messages.KeyState = _KeyState.UNKNOWN,
     ) -> list[actions.Action]:
-        live = self._live.pop(req)
-        self._note(live.head, refusal)
-        not_run = outcome is actions.Outcome.NOT_RUN
-        return [
-            actions.Answer(
-                req=req,
-                outcome=outcome,
-                status=status,
-                reason=refusal.value,
-                retry_after_s=RETRY_AFTER_S if not_run else 0.0,
-            ),
-        ]
-
-    def _note(
-        self,
-        head: request_head.RequestHead,
-        refusal: reasons.Refusal,
-    ) -> None:
-        self._recorder.refused(refusal)
-        self._recorder.event(
-            events.Event.REQUEST_REFUSED,
-            service=head.service,
-            reason=refusal.value,
-        )
-
+        """Answer that nobody knows whether a request ran.
 
-_LATE = frozenset(
-    {
-        ports.AttemptKind.TIMED_OUT,
-        ports.AttemptKind.SILENT,
-        ports.AttemptKind.CANCELLED,
-    },
-)
-_NOT_RUN_STATUS = {
-    reasons.Refusal.REQUEST_MALFORMED: 400,
-    reasons.Refusal.REQUEST_UNKNOWN_SERVICE: 404,
-    reasons.Refusal.REQUEST_OVERSIZED: 413,
-}
+        :param state: how the claim of this entry VM ended
+        """
+        req = live.head.req
+        del self._live[req]
+        answer = request_answer.unknown(req, refusal)
+        request_answer.note(self._recorder, live.head, answer)
+        return [answer, *self._keys.ended(req, state, now)]
--- a/ebonytally/settings.py
+++ b/ebonytally/settings.py
@@ -79,6 +79,7 @@
     :param default_timeout_s: deadline of a request that names none
     :param max_timeout_s: longest deadline that a caller may ask for
     :param key_window_s: age up to which a key is vouched for
+    :param key_ahead_s: how far a caller's clock may be ahead
     :param max_keys: keys that one entry VM may hold
     :param retry_share: retries allowed as a share of first tries
     :param silent_s: no progress for this long makes a connection silent
@@ -88,6 +89,7 @@
     default_timeout_s: float = 10.0
     max_timeout_s: float = 120.0
     key_window_s: float = 600.0
+    key_ahead_s: float = 2.0
     max_keys: int = 100_000
     retry_share: float = 0.1
     silent_s: float = 1.0
--- a/ebonytally/view.py
+++ b/ebonytally/view.py
@@ -136,6 +136,7 @@
     :param config_revision: revision of the last operators' change
     :param out: names of the data centres taken out
     :param keeper_epoch: revision at which the keepers last changed
+    :param keeper_before: keeper epoch before that, 0 for none
     :param next_upstream_id: id that the next new upstream gets
     """
 
@@ -148,3 +149,4 @@
     tables: tuple[Table, ...] = ()
     keeper_epoch: int = 0
     next_upstream_id: int = 1
+    keeper_before: int = 0
--- /dev/null
+++ b/tests/key_cluster.py
@@ -0,0 +1,255 @@
+"""Several Requests objects, a lossy network and a leader, virtual time."""
+
+import heapq
+import itertools
+import random
+import uuid
+
+import attrs
+
+from ebonytally import actions
+from ebonytally import commands
+from ebonytally import config
+from ebonytally import ports
+from ebonytally import recorder
+from ebonytally import request_head
+from ebonytally import requests
+from ebonytally import settings
+from ebonytally import view
+
+STEP_S = 0.05
+LEASE_S = 1.5
+DOWN_AFTER_S = 1.8
+WALL = 1.7e9
+
+
+def make_key(minted: float, number: int) -> str:
+    """Return a UUIDv7 minted at `minted` on the virtual clock."""
+    millis = int((WALL + minted) * 1000)
+    raw = millis << 80 | 7 << 76 | 2 << 62 | number
+    return str(uuid.UUID(int=raw))
+
+
+class Slots:
+    """As many slots as anyone wants, of three upstreams."""
+
+    def __init__(self) -> None:
+        self.full = False
+
+    def take(self, service, exclude, now):
+        free = [number for number in (1, 2, 3) if number not in exclude]
+        if self.full or not free:
+            return None
+        return view.Upstream(
+            free[0], service, "127.0.0.1", 0, 1, "dc-1", 2, 1, 1
+        )
+
+    def want(self, service, count, now):
+        return []
+
+    def give_back(self, upstream, result, now):
+        return []
+
+
+@attrs.define(eq=False)
+class Node:
+    """One start of an entry VM; times on the virtual clock."""
+
+    requests: requests.Requests
+    incarnation: int
+    lag_s: float
+    applied: int = 0
+    lease_until: float = 0.0
+
+
+@attrs.define
+class Told:
+    """What a caller was told about one copy of its request."""
+
+    key: str
+    answer: actions.Answer
+    ran_before: int
+
+
+class Cluster:
+    """Entry VMs that keep keys for each other.
+
+    :param loss: share of messages lost, and of those that come twice
+    """
+
+    def __init__(self, seed: int, count: int = 4, loss=0.0, **numbers):
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.now = 0.0
+        self.names = [f"vm-{number}" for number in range(1, count + 1)]
+        self.cfg = settings.Settings(
+            name="",
+            address="",
+            data_centre="",
+            region="",
+            cluster_key="",
+            data_folder="",
+            seeds=(),
+            requests=settings.Requests(**numbers),
+        )
+        self.recorder = recorder.MemoryRecorder()
+        self.starts = itertools.count(1)
+        self.order = itertools.count()
+        self.wire: list[tuple[float, int, str, str, object]] = []
+        self.cut: set[str] = set()
+        self.heard: dict[str, float] = dict.fromkeys(self.names, 0.0)
+        self.log: list[tuple[float, view.View]] = [(0.0, view.View())]
+        self.nodes: dict[str, Node] = {}
+        self.runs: dict[str, int] = {}
+        self.heads: dict[int, tuple[str, str]] = {}
+        self.attempts: dict[tuple[str, int], str] = {}
+        self.told: list[Told] = []
+        self.numbers = itertools.count(1)
+        vms = tuple(
+            view.Vm(name, f"10.0.0.{number}", f"dc-{number}", "west", True)
+            for number, name in enumerate(self.names)
+        )
+        self.commit(commands.Genesis(vms))
+        desk = view.Service("desk", "10.1.0.1", 80, 6, ("dc-1",))
+        self.commit(commands.ServiceSet(desk))
+        for name in self.names:
+            self.start(name)
+
+    @property
+    def latest(self) -> view.View:
+        return self.log[-1][1]
+
+    def commit(self, command) -> None:
+        self.log.append((self.now, config.apply(self.latest, command)))
+
+    def start(self, name: str) -> None:
+        incarnation = next(self.starts)
+        made = requests.Requests(
+            self.cfg, name, Slots(), self.recorder, incarnation
+        )
+        lag_s = self.random.uniform(0.0, 1.0) if self.loss else 0.0
+        self.nodes[name] = Node(made, incarnation, lag_s)
+
+    def kill(self, name: str) -> None:
+        self.nodes.pop(name, None)
+
+    def mark(self, name: str, state: view.VmState) -> None:
+        incarnation = self.nodes[name].incarnation
+        self.commit(commands.VmMarked(name, state, incarnation))
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            self._lead()
+            self._deliver()
+            for name, node in list(self.nodes.items()):
+                leased = self.now < node.lease_until
+                node.requests.reach(frozenset(), leased, self.now)
+                self._perform(name, node.requests.tick(self.now))
+
+    def send(self, name, key, content=b"c", timeout_s=5.0) -> int:
+        """Send one copy of a request; return its number."""
+        req = next(self.numbers)
+        head = request_head.RequestHead(
+            req=req,
+            service="desk",
+            method="POST",
+            idempotent=False,
+            key=key,
+            content=content,
+            body_bytes=1,
+            deadline=self.now + timeout_s,
+            wall=WALL + self.now,
+        )
+        self.heads[req] = (name, key)
+        node = self.nodes[name]
+        self._perform(name, node.requests.request(head, self.now))
+        return req
+
+    def finish(self, attempt: tuple[str, int], kind, status=200) -> None:
+        """End an attempt that was dispatched."""
+        key = self.attempts.pop(attempt)
+        name, number = attempt
+        if kind in (ports.AttemptKind.NOT_SENT, ports.AttemptKind.SHED):
+            self.runs[key] -= 1
+        node = self.nodes.get(name)
+        if node is None:
+            return
+        answered = kind is ports.AttemptKind.ANSWERED
+        result = ports.AttemptResult(
+            kind,
+            0.05,
+            status if answered else 0,
+            body=key.encode() if answered else b"",
+            has_body=answered,
+        )
+        acts = node.requests.attempt_done(number, result, self.now)
+        self._perform(name, acts)
+
+    def answers(self, req: int) -> list[actions.Answer]:
+        """Return what the caller of `req` was told."""
+        return [told.answer for told in self.told if told.answer.req == req]
+
+    def _lead(self) -> None:
+        for name in self.names:
+            node = self.nodes.get(name)
+            vm = next(one for one in self.latest.vms if one.name == name)
+            if node is None or name in self.cut:
+                silent = self.now - self.heard[name] > DOWN_AFTER_S
+                if silent and vm.state is not view.VmState.DOWN:
+                    state = view.VmState.DOWN
+                    down = commands.VmMarked(name, state, vm.incarnation)
+                    self.commit(down)
+                continue
+            self.heard[name] = self.now
+            down = vm.state is view.VmState.DOWN
+            if down or node.incarnation > vm.incarnation:
+                self.mark(name, view.VmState.UP)
+            self._catch_up(name, node)
+            node.lease_until = self.now + LEASE_S
+
+    def _catch_up(self, name: str, node: Node) -> None:
+        while node.applied + 1 < len(self.log):
+            committed, new = self.log[node.applied + 1]
+            if committed > self.now - node.lag_s:
+                return
+            node.applied += 1
+            self._perform(name, node.requests.changed(new, self.now))
+
+    def _deliver(self) -> None:
+        while self.wire and self.wire[0][0] <= self.now:
+            _, _, sender, peer, msg = heapq.heappop(self.wire)
+            node = self.nodes.get(peer)
+            together = (sender in self.cut) == (peer in self.cut)
+            if node is not None and together:
+                acts = node.requests.handle(sender, msg, self.now)
+                self._perform(peer, acts)
+
+    def _perform(self, name: str, acts) -> None:
+        for act in acts:
+            if isinstance(act, actions.Send):
+                self._post(name, act)
+            elif isinstance(act, actions.Dispatch):
+                key = self.heads[act.req][1]
+                self.runs[key] = self.runs.get(key, 0) + 1
+                self.attempts[name, act.attempt] = key
+            elif isinstance(act, actions.Answer):
+                key = self.heads[act.req][1]
+                self.told.append(Told(key, act, self.runs.get(key, 0)))
+
+    def _post(self, sender: str, act: actions.Send) -> None:
+        copies = 1
+        if self.random.random() < self.loss:
+            copies = self.random.choice((0, 0, 2))
+        for _ in range(copies):
+            delay_s = 0.002
+            if self.loss:
+                delay_s = self.random.choice((0.002, 0.05, 0.3, 2.0))
+            entry = (
+                self.now + delay_s,
+                next(self.order),
+                sender,
+                act.peer,
+                act.msg,
+            )
+            heapq.heappush(self.wire, entry)
--- /dev/null
+++ b/tests/test_key_machine.py
@@ -0,0 +1,141 @@
+"""Keys under any order of losses: nothing runs twice, no false not run."""
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from ebonytally import actions
+from ebonytally import ports
+from ebonytally import view
+from tests import key_cluster
+
+SEEDS = int(os.environ.get("EBONYTALLY_SEEDS", "0"))
+MAX_KEYS = 12
+VMS = strategies.integers(0, 3)
+KINDS = (
+    ports.AttemptKind.ANSWERED,
+    ports.AttemptKind.LOST,
+    ports.AttemptKind.NOT_SENT,
+    ports.AttemptKind.SHED,
+)
+
+
+class Keys(stateful.RuleBasedStateMachine):
+    """Entry VMs that are killed, cut off, restarted and stopped."""
+
+    @stateful.initialize(
+        seed=strategies.integers(0, 2**32),
+        loss=strategies.sampled_from((0.0, 0.1, 0.4)),
+    )
+    def begin(self, seed, loss):
+        self.cluster = key_cluster.Cluster(
+            seed,
+            loss=loss,
+            max_keys=MAX_KEYS,
+        )
+        self.cluster.advance(6.0)
+        self.keys = []
+        self.reqs = []
+
+    def _name(self, number):
+        return self.cluster.names[number]
+
+    @stateful.rule(vm=VMS, ahead_s=strategies.floats(-1.0, 1.9))
+    def send_new(self, vm, ahead_s):
+        minted = self.cluster.now + ahead_s
+        key = key_cluster.make_key(minted, len(self.keys) + 1)
+        self.keys.append(key)
+        self._send(vm, key)
+
+    @stateful.precondition(lambda self: self.keys)
+    @stateful.rule(vm=VMS, back=strategies.integers(1, 4))
+    def send_again(self, vm, back):
+        self._send(vm, self.keys[-min(back, len(self.keys))])
+
+    def _send(self, vm, key):
+        name = self._name(vm)
+        if name in self.cluster.nodes:
+            self.reqs.append(self.cluster.send(name, key))
+
+    @stateful.precondition(lambda self: self.reqs)
+    @stateful.rule(back=strategies.integers(1, 3))
+    def caller_goes(self, back):
+        req = self.reqs[-min(back, len(self.reqs))]
+        node = self.cluster.nodes.get(self.cluster.heads[req][0])
+        if node is not None and node.requests.known(req):
+            name = self.cluster.heads[req][0]
+            acts = node.requests.cancelled(req, self.cluster.now)
+            self.cluster._perform(name, acts)
+
+    @stateful.rule(kind=strategies.sampled_from(KINDS))
+    def finish(self, kind):
+        for attempt in list(self.cluster.attempts)[:1]:
+            self.cluster.finish(attempt, kind)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.05, 0.3, 1.0, 3.0)))
+    def advance(self, seconds):
+        self.cluster.advance(seconds)
+
+    @stateful.rule(vm=VMS, restart=strategies.booleans())
+    def kill(self, vm, restart):
+        self.cluster.kill(self._name(vm))
+        if restart:
+            self.cluster.start(self._name(vm))
+
+    @stateful.rule()
+    def restart_all_that_are_down(self):
+        for name in self.cluster.names:
+            if name not in self.cluster.nodes:
+                self.cluster.start(name)
+
+    @stateful.rule(vm=VMS)
+    def cut(self, vm):
+        self.cluster.cut ^= {self._name(vm)}
+
+    @stateful.rule(vm=VMS)
+    def stop(self, vm):
+        name = self._name(vm)
+        if name in self.cluster.nodes:
+            node = self.cluster.nodes[name]
+            node.requests.stop(self.cluster.now)
+            self.cluster.mark(name, view.VmState.STOPPING)
+
+    @stateful.invariant()
+    def nothing_runs_twice(self):
+        for runs in (
+            getattr(self, "cluster", None)
+            and (self.cluster.runs.values())
+            or ()
+        ):
+            assert runs <= 1
+
+    @stateful.invariant()
+    def what_is_told_is_true(self):
+        cluster = getattr(self, "cluster", None)
+        for told in cluster.told if cluster else ():
+            outcome = told.answer.outcome
+            if outcome is actions.Outcome.NOT_RUN:
+                assert told.ran_before == 0
+            if outcome is actions.Outcome.ANSWERED:
+                assert told.ran_before == 1
+                body = told.answer.body
+                assert body in (b"", told.key.encode()) or told.answer.reason
+
+    @stateful.invariant()
+    def memory_is_bounded(self):
+        cluster = getattr(self, "cluster", None)
+        for node in cluster.nodes.values() if cluster else ():
+            assert node.requests.key_count <= MAX_KEYS
+
+
+Keys.TestCase.settings = hypothesis.settings(
+    derandomize=not SEEDS,
+    max_examples=SEEDS or 60,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+    database=None,
+)
+TestKeys = Keys.TestCase
