--- a/tests/test_key_machine.py
+++ b/tests/test_key_machine.py
@@ -137,5 +137,8 @@
     deadline=None,
     suppress_health_check=list(hypothesis.HealthCheck),
     database=None,
+    phases=(
+        tuple(hypothesis.Phase) if SEEDS else (hypothesis.Phase.generate,)
+    ),
 )
 TestKeys = Keys.TestCase
