--- a/ebonytally/flow_handover.py
+++ b/ebonytally/flow_handover.py
@@ -101,7 +101,12 @@
         """Forget a service."""
         self._complete_at.pop(service, None)
 
-    def begin(self, old: flow_keepers.Keepers, carry: bool) -> None:
+    def begin(
+        self,
+        old: flow_keepers.Keepers,
+        carry: bool,
+        now: float,
+    ) -> None:
         """Begin the site's keeper epoch.
 
         :param old: the keepers before it
@@ -109,32 +114,39 @@
         """
         me = self._site.me
         keepers = self._site.keepers
+        self._imports = {}
+        self._complete_held = {}
+        self._highest_held = {}
+        self._fresh = set()
+        wanted = set()
         for group in _GROUPS:
-            was = carry and old.holds(group, me) and self._knows[group]
-            self._knows[group] = was and keepers.holds(group, me)
+            carried = carry and old.holds(group, me) and self._knows[group]
+            kept = keepers.holds(group, me)
+            self._knows[group] = carried and kept
             if self._knows[group]:
                 self._held[group] = self._site.epoch
                 continue
-            for at in self._complete_at.values():
-                at[group] = math.inf
-        wanted = {
-            group
-            for group in _GROUPS
-            if keepers.holds(group, me) and not self._knows[group]
-        }
+            if kept:
+                wanted.add(group)
+            self._leave(group, kept, now)
         self._missing = {
             vm.name: set(wanted)
             for vm in self._site.state.vms
             if vm.state is not view.VmState.DOWN and vm.name != me
         }
-        self._imports = {}
-        self._complete_held = {}
-        self._highest_held = {}
-        self._fresh = set()
         self._served = {}
         self._next_ask = 0.0
         self._open = True
 
+    def _leave(self, group: int, kept: bool, now: float) -> None:
+        """Note what was complete when keeping a group was interrupted."""
+        for name, at in self._complete_at.items():
+            if at[group] > now:
+                at[group] = math.inf
+            elif kept:
+                self._complete_held[name, group] = self._held[group]
+                at[group] = math.inf
+
     def tick(
         self,
         routes: Mapping[int, flow_routes.Route],
--- a/ebonytally/flow_keeper.py
+++ b/ebonytally/flow_keeper.py
@@ -10,6 +10,7 @@
 from ebonytally import flow_messages
 from ebonytally import flow_packet
 from ebonytally import flow_promises
+from ebonytally import flow_recent
 from ebonytally import flow_records
 from ebonytally import flow_routes
 from ebonytally import flow_site
@@ -56,10 +57,21 @@
     promises: flow_promises.Promises
     handover: flow_handover.Handover
     limits: flow_limits.Limits
+    recent: flow_recent.Recent
     recorder: recorders.Recorder
 
     def decide(self, held: Held, now: float) -> list[actions.Action]:
         """Return what becomes of a packet that no keeper placed yet."""
+        found = self._decide(held, now)
+        refused = not any(
+            isinstance(action, actions.Send | actions.Forward)
+            for action in found
+        )
+        if refused and not held.starts:
+            found += self._object(held)
+        return found
+
+    def _decide(self, held: Held, now: float) -> list[actions.Action]:
         record = self._record(held)
         if record is None:
             return self._unrecorded(held, now)
@@ -138,8 +150,6 @@
         if self._base(held) is None:
             return True
         name = held.route.service.name
-        if self.site.keepers.first[held.group] != self.site.me:
-            return False
         return self.handover.complete(name, held.group, now)
 
     def _base(self, held: Held) -> flow_routes.Target | None:
@@ -170,17 +180,20 @@
         target = self._base(held)
         if target is None:
             return self._dead(held, self._base_id(held), now)
-        name = held.route.service.name
-        if not self.site.whole() and self.handover.complete(
-            name, held.group, now
-        ):
-            refused = self.refuse(reasons.Refusal.FLOW_UNKNOWN)
-            return refused + self._object(held)
+        if self._may_be_foreign(held, now):
+            return self.refuse(reasons.Refusal.FLOW_UNKNOWN)
         if self.site.keepers.first[held.group] != self.site.me:
             self._note(held, target, now)
             return self._out(held, target)
         return self._by_second(held, target, now)
 
+    def _may_be_foreign(self, held: Held, now: float) -> bool:
+        """Tell whether a flow may have begun beyond a partition."""
+        if held.parsed.protocol != flow_packet.TCP or self.site.whole():
+            return False
+        name = held.route.service.name
+        return self.handover.complete(name, held.group, now)
+
     def _dead(
         self,
         held: Held,
@@ -369,6 +382,7 @@
     def _object(self, held: Held) -> list[actions.Action]:
         """Tell the entry VM not to send this flow to the base."""
         if not held.origin:
+            forget(self.recent, held.route, held.parsed.flow)
             return []
         msg = flow_messages.FlowRefused(
             held.parsed.service,
@@ -392,6 +406,17 @@
         return [] if answer is None else [actions.ToCaller(answer)]
 
 
+def forget(
+    recent: flow_recent.Recent,
+    route: flow_routes.Route,
+    flow: int,
+) -> None:
+    """Send further packets of a flow by way of its keeper."""
+    target = route.direct[flow & route.mask]
+    if target is not None:
+        recent.forget(flow ^ target.mix)
+
+
 def lookup(
     parsed: flow_packet.Parsed,
     route: flow_routes.Route,
--- a/ebonytally/flows.py
+++ b/ebonytally/flows.py
@@ -26,6 +26,11 @@
 
 STOP_TOKEN = "flows-stop"
 
+_CONFIRM_TICKS = {
+    flow_packet.TCP: flow_recent.TCP_CONFIRM_TICKS,
+    flow_packet.UDP: flow_recent.UDP_CONFIRM_TICKS,
+}
+
 
 class Flows:
     """The flows slice of one daemon."""
@@ -71,6 +76,7 @@
             self._promises,
             self._handover,
             self._limits,
+            self._recent,
             recorder,
         )
         self._pins = flow_pins.Pins(
@@ -96,7 +102,9 @@
         if not parsed.marks and self._site.leased:
             target = route.direct[parsed.flow & route.mask]
             if target is not None and self._recent.confirmed(
-                parsed.flow ^ target.mix, now
+                parsed.flow ^ target.mix,
+                _CONFIRM_TICKS[parsed.protocol],
+                now,
             ):
                 return [
                     actions.Forward(
@@ -166,7 +174,7 @@
         if new.keeper_epoch != old.keeper_epoch or not old.revision:
             before = self._site.keepers
             self._site.keepers = flow_keepers.choose(new.vms)
-            self._handover.begin(before, not self._lapsed)
+            self._handover.begin(before, not self._lapsed, now)
             self._limits.changed()
             self._lapsed = not self._site.leased
         self._take_services(old, now)
@@ -180,6 +188,10 @@
         now: float,
     ) -> list[actions.Action]:
         """Take who is heard from, and whether the lease holds."""
+        if self._site.peers - peers:
+            # What was sent to the lost peer may not have arrived.
+            young = 2 * flow_recent.UDP_CONFIRM_TICKS
+            self._recent.forget_young(young, now)
         self._site.peers = peers
         self._site.leased = leased
         if not leased:
@@ -303,11 +315,8 @@
         msg: flow_messages.FlowRefused,
     ) -> list[actions.Action]:
         route = self._routes.get(msg.service)
-        if route is None:
-            return []
-        target = route.direct[msg.flow & route.mask]
-        if target is not None:
-            self._recent.forget(msg.flow ^ target.mix)
+        if route is not None:
+            flow_keeper.forget(self._recent, route, msg.flow)
         return []
 
     def _note_pause(self, now: float) -> None:
