--- a/ebonytally/flow_keeper.py
+++ b/ebonytally/flow_keeper.py
@@ -175,13 +175,14 @@
             return self.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
         state = held.route.kept.get(held.slot)
         placing = state is not None and state.placing
-        if placing and not self.handover.knows(held.group):
+        doubtful = placing or not self.site.whole()
+        if doubtful and not self.handover.knows(held.group):
             return self._to_other(held)
+        if self._may_be_foreign(held, now):
+            return self.refuse(reasons.Refusal.FLOW_UNKNOWN)
         target = self._base(held)
         if target is None:
             return self._dead(held, self._base_id(held), now)
-        if self._may_be_foreign(held, now):
-            return self.refuse(reasons.Refusal.FLOW_UNKNOWN)
         if self.site.keepers.first[held.group] != self.site.me:
             self._note(held, target, now)
             return self._out(held, target)
