--- a/ebonytally/plan_book.py
+++ b/ebonytally/plan_book.py
@@ -17,9 +17,10 @@
 from ebonytally import wire
 
 MAX_PLANS = 256
+MAX_PLANS_PER_OPERATOR = 32
 MAX_OPEN_PER_OPERATOR = 8
-MAX_ANSWERS = 1024
-MAX_ANSWERS_PER_OPERATOR = 128
+MAX_ANSWERS = 512
+MAX_ANSWERS_PER_OPERATOR = 64
 _DIGEST_BYTES = 8
 _CHECK_DIGITS = 4
 
@@ -276,19 +277,25 @@
         return messages.Answer(text=text, plan=closed)
 
     def _trim(self, operator: str, wall: float) -> None:
-        """Drop the oldest plans above the limits."""
+        """Close and drop the oldest plans above the limits.
+
+        An operator's own go first, so that one who states very many
+        intents leaves the others' plans alone.
+        """
         mine = [
-            plan
-            for plan in self._plans.values()
-            if plan.operator == operator
-            and plan.state is messages.PlanState.OPEN
+            plan for plan in self._plans.values() if plan.operator == operator
+        ]
+        still_open = [
+            plan for plan in mine if plan.state is messages.PlanState.OPEN
         ]
-        for plan in mine[:-MAX_OPEN_PER_OPERATOR]:
+        for plan in still_open[:-MAX_OPEN_PER_OPERATOR]:
             self._plans[plan.id] = attrs.evolve(
                 plan,
                 state=messages.PlanState.DISCARDED,
                 closed_at=wall,
             )
+        for plan in mine[:-MAX_PLANS_PER_OPERATOR]:
+            del self._plans[plan.id]
         while len(self._plans) > MAX_PLANS:
             del self._plans[next(iter(self._plans))]
 
--- a/ebonytally/plan_warnings.py
+++ b/ebonytally/plan_warnings.py
@@ -10,6 +10,7 @@
     messages.Caution.NO_UPSTREAM_LEFT,
 )
 _LISTED_VMS = 5
+_LISTED_PLANS = 3
 
 
 def find(
@@ -115,12 +116,18 @@
 def _open_warnings(
     others: tuple[messages.Plan, ...],
 ) -> typing.Iterator[messages.Warn]:
-    for plan in others:
+    for plan in others[-_LISTED_PLANS:]:
         yield messages.Warn(
             messages.Caution.OTHER_PLAN_OPEN,
             f"Plan {plan.id} by {plan.operator} is open too; whichever is "
             "confirmed first makes the other void.",
         )
+    more = len(others) - _LISTED_PLANS
+    if more > 0:
+        yield messages.Warn(
+            messages.Caution.OTHER_PLAN_OPEN,
+            f"{more} more plans are open (ebonytally plan list).",
+        )
 
 
 def _silent_warnings(
--- a/tests/intent_fakes.py
+++ b/tests/intent_fakes.py
@@ -49,7 +49,7 @@
 def service(name: str = "cutting-desk", port: int = 80) -> view.Service:
     """Return a service in three data centres."""
     centres = ("north", "south", "east")
-    return view.Service(name, "10.9.0.1", port, 6, centres)
+    return view.Service(name, "10.9.0.1", port, 6, centres, slots=64)
 
 
 def upstream(last: int, centre: str, name: str = "cutting-desk"):
--- /dev/null
+++ b/tests/test_intents_machine.py
@@ -0,0 +1,359 @@
+"""Intents against a model: resends, races, expiry, restarts.
+
+Two replicas apply the same commands; one of them is restored from the
+other's snapshot now and then. The model knows first answers, which plans
+were confirmed, and what a confirmed plan makes of the view.
+"""
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from ebonytally import commands
+from ebonytally import control_state
+from ebonytally import plan_book
+from ebonytally import plan_messages as messages
+from ebonytally import view
+from tests import intent_fakes as fakes
+
+_OPERATORS = st.sampled_from(["mair", "ion"])
+_IDS = st.integers(1, 12).map(str)
+_CENTRES = st.sampled_from(["north", "south", "east", "nowhere"])
+_SERVICES = st.sampled_from(["desk", "store"])
+_INTENTS = st.one_of(
+    st.builds(messages.TakeOut, _CENTRES),
+    st.builds(messages.BringBack, _CENTRES),
+    st.builds(messages.RemoveService, _SERVICES),
+    st.builds(
+        messages.ChangeService,
+        _SERVICES,
+        max_queue=st.integers(1, 3),
+    ),
+    st.builds(
+        messages.CreateService,
+        st.builds(fakes.service, _SERVICES, st.integers(80, 81)),
+    ),
+    st.builds(messages.RetireVm, st.sampled_from(["vm-4", "vm-1"])),
+)
+_FACTS = st.builds(messages.Facts, counted_by=st.integers(0, 5))
+_PLAN_S = 50.0
+
+
+class IntentMachine(stateful.RuleBasedStateMachine):
+    """Drives two replicas with operators who resend and race."""
+
+    plans = stateful.Bundle("plans")
+
+    def __init__(self) -> None:
+        """Start two replicas."""
+        super().__init__()
+        self.replicas = [control_state.Machine(), control_state.Machine()]
+        self.wall = 1000.0
+        self.first: dict[tuple, tuple[object, messages.Answer]] = {}
+        self.confirmed: set[str] = set()
+        self.made: dict[str, messages.Plan] = {}
+        self.past: list[object] = []
+        self._apply(commands.Genesis(fakes.vms()))
+
+    def _apply(self, command: object) -> object:
+        one, other = (each.apply(command) for each in self.replicas)
+        assert one == other
+        for replica in self.replicas:
+            effects = replica.effects()
+            revisions = [effect.revision for effect in effects]
+            last = replica.view.revision
+            wanted = range(last - len(effects) + 1, last + 1)
+            assert revisions == list(wanted)
+        return one
+
+    def _asked(self, key: tuple, content: object, command: object):
+        """Apply an operator's command and check it against the model."""
+        before = self.replicas[0].view
+        answer = self._apply(command)
+        after = self.replicas[0].view
+        known = self.first.get(key)
+        if known is None:
+            self.first[key] = (content, answer)
+        elif known[0] == content:
+            assert answer == known[1]
+            assert after == before
+        else:
+            assert answer.reason == "intent_id_reused"
+            assert after == before
+        return answer, known is None, before, after
+
+    @stateful.rule(target=plans, who=_OPERATORS, name=_IDS, intent=_INTENTS)
+    def state_intent(self, who, name, intent):
+        """State an intent; sometimes with an id used before."""
+        command = messages.IntentStated(
+            who, name, intent, messages.Facts(), self.wall, _PLAN_S
+        )
+        self.past.append(command)
+        key = (who, "intent", name)
+        answer, _, before, after = self._asked(key, intent, command)
+        assert after == before
+        if answer.plan is None:
+            return stateful.multiple()
+        self.made[answer.plan.id] = answer.plan
+        return answer.plan.id
+
+    @stateful.rule(
+        target=plans, plan=plans, who=_OPERATORS, name=_IDS, facts=_FACTS
+    )
+    def confirm(self, plan, who, name, facts):
+        """Confirm a plan, perhaps one that another operator confirmed."""
+        command = messages.PlanConfirmed(who, name, plan, facts, self.wall)
+        self.past.append(command)
+        key = (who, "confirm", name)
+        answer, fresh, before, after = self._asked(key, plan, command)
+        if not fresh:
+            return plan
+        if answer.reason:
+            assert after == before
+        else:
+            self._check_confirmed(plan, before, after)
+        if answer.reason == "plan_basis_moved" and answer.plan is not None:
+            self.made[answer.plan.id] = answer.plan
+            return answer.plan.id
+        return plan
+
+    def _check_confirmed(self, plan, before, after):
+        made = self.made[plan]
+        assert plan not in self.confirmed
+        assert self.wall <= made.expires_at
+        assert made.basis == before.config_revision
+        assert after.config_revision > before.config_revision
+        self.confirmed.add(plan)
+
+    @stateful.rule(plan=plans, who=_OPERATORS, name=_IDS)
+    def discard(self, plan, who, name):
+        """Discard a plan."""
+        command = messages.PlanDiscarded(who, name, plan, self.wall)
+        key = (who, "discard", name)
+        _, _, before, after = self._asked(key, plan, command)
+        assert after == before
+
+    @stateful.precondition(lambda self: self.past)
+    @stateful.rule(data=st.data())
+    def propose_twice(self, data):
+        """Commit an old proposal again, as a proposer's retry does."""
+        before = self.replicas[0].view
+        command = data.draw(st.sampled_from(self.past))
+        self._apply(command)
+        assert self.replicas[0].view == before
+
+    @stateful.rule(
+        last=st.integers(1, 3),
+        centre=st.sampled_from(["north", "south"]),
+        service=_SERVICES,
+    )
+    def upstream_announces(self, last, centre, service):
+        """Let an upstream join, which moves no plan's basis."""
+        config_revision = self.replicas[0].view.config_revision
+        seen = fakes.upstream(last, centre, service)
+        self._apply(commands.UpstreamSeen(seen))
+        assert self.replicas[0].view.config_revision == config_revision
+
+    @stateful.rule(step=st.sampled_from([-60.0, 1.0, 20.0, 60.0]))
+    def clock_moves(self, step):
+        """Let time pass, or the clock jump back."""
+        self.wall += step
+
+    @stateful.rule()
+    def restart_a_replica(self):
+        """Restore one replica from the other's snapshot."""
+        restored = control_state.Machine()
+        restored.restore(self.replicas[0].snapshot())
+        self.replicas[1] = restored
+
+    @stateful.invariant()
+    def replicas_agree(self):
+        """Both replicas have the same state."""
+        one, other = (each.snapshot() for each in self.replicas)
+        assert one == other
+
+    @stateful.invariant()
+    def confirmed_plans_stay_confirmed(self):
+        """What was acknowledged never reverts."""
+        for plan in self.confirmed:
+            read = self.replicas[0].apply(messages.PlanRead(plan, self.wall))
+            assert read.plan.state is messages.PlanState.CONFIRMED
+
+
+TestIntents = IntentMachine.TestCase
+TestIntents.settings = hypothesis.settings(
+    max_examples=int(os.environ.get("EBONYTALLY_SEEDS", "60")),
+    stateful_step_count=40,
+    deadline=None,
+    derandomize="EBONYTALLY_SEEDS" not in os.environ,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def _ready() -> control_state.Machine:
+    machine = control_state.Machine()
+    machine.apply(commands.Genesis(fakes.vms()))
+    machine.apply(commands.ServiceSet(fakes.service()))
+    for last, centre in enumerate(("north", "north", "south"), start=1):
+        seen = fakes.upstream(last, centre)
+        machine.apply(commands.UpstreamSeen(seen))
+    return machine
+
+
+def _stated(machine, intent, name="1", facts=None, wall=100.0):
+    facts = facts or messages.Facts(counted_by=5)
+    command = messages.IntentStated("mair", name, intent, facts, wall, 600.0)
+    return machine.apply(command)
+
+
+def _cautions(plan) -> list[str]:
+    return [warn.caution.value for warn in plan.draft.warnings]
+
+
+def test_plan_counts_what_ends_and_what_is_left():
+    facts = messages.Facts(
+        (
+            messages.UpstreamLoad(1, 1500, 2),
+            messages.UpstreamLoad(2, 1000, 1),
+            messages.UpstreamLoad(3, 10, 0),
+        ),
+        counted_by=4,
+        silent_vms=("vm-5",),
+    )
+    plan = _stated(_ready(), messages.TakeOut("north"), facts=facts).plan
+    assert plan.draft.flows_ending == 2500
+    left = plan.draft.capacities[0]
+    assert (left.upstreams_before, left.upstreams_after) == (3, 1)
+    assert (left.slots_after, left.connections_after) == (2, 2000)
+    assert _cautions(plan) == [
+        "capacity_below_load",
+        "capacity_below_load",
+        "vms_not_heard",
+        "counts_partial",
+    ]
+
+
+def test_last_data_centre_is_shown_as_such():
+    machine = _ready()
+    for name in ("north", "south"):
+        machine.apply(commands.DataCentreOut(name))
+    plan = _stated(machine, messages.TakeOut("east")).plan
+    assert _cautions(plan) == ["last_data_centre"]
+
+
+def test_confirmation_stops_at_a_grave_warning_that_nobody_saw():
+    machine = _ready()
+    plan = _stated(machine, messages.TakeOut("north")).plan
+    machine.apply(commands.UpstreamGone(3, 1))
+    command = messages.PlanConfirmed(
+        "mair", "1", plan.id, messages.Facts(), 101.0
+    )
+    answer = machine.apply(command)
+    assert answer.reason == "plan_basis_moved"
+    assert _cautions(answer.plan)[0] == "no_upstream_left"
+    assert machine.view.out == ()
+
+
+def _confirm(machine, plan, name="1", wall=101.0):
+    facts = messages.Facts(counted_by=5)
+    command = messages.PlanConfirmed("mair", name, plan.id, facts, wall)
+    return machine.apply(command)
+
+
+def test_plan_can_be_confirmed_up_to_its_expiry_and_not_after():
+    machine = _ready()
+    late = _stated(machine, messages.TakeOut("north"), "1").plan
+    answer = _confirm(machine, late, "1", wall=late.expires_at + 0.1)
+    assert answer.reason == "plan_expired"
+    assert machine.view.out == ()
+    in_time = _stated(machine, messages.TakeOut("north"), "2").plan
+    answer = _confirm(machine, in_time, "2", wall=in_time.expires_at)
+    assert answer.reason == ""
+    assert machine.view.out == ("north",)
+
+
+def test_plan_made_before_another_change_is_void():
+    machine = _ready()
+    first = _stated(machine, messages.TakeOut("north"), "1").plan
+    other = _stated(machine, messages.RetireVm("vm-4"), "2").plan
+    assert _confirm(machine, other, "2").reason == ""
+    answer = _confirm(machine, first, "1")
+    assert answer.reason == "plan_basis_moved"
+    assert machine.view.out == ()
+    assert answer.plan.id != first.id
+    assert _confirm(machine, first, "3").reason == "plan_basis_moved"
+    assert _confirm(machine, answer.plan, "4").reason == ""
+    assert machine.view.out == ("north",)
+
+
+def test_unknown_counts_are_not_given_as_none():
+    facts = messages.Facts()
+    plan = _stated(_ready(), messages.TakeOut("north"), facts=facts).plan
+    assert plan.draft.flows_ending == -1
+    assert any("isn't known" in line for line in plan.draft.changes)
+
+
+def test_control_vms_stay_enough_for_a_majority():
+    machine = _ready()
+    answer = _stated(machine, messages.RetireVm("vm-1"))
+    assert answer.reason == "intent_not_possible"
+    facts = messages.Facts(silent_vms=("vm-2",))
+    replace = messages.ReplaceVm("vm-1", "127.20.0.9")
+    plan = _stated(machine, replace, "2", facts).plan
+    assert "control_majority" in _cautions(plan)
+
+
+def test_memory_of_plans_and_answers_is_bounded():
+    machine = _ready()
+    sizes = []
+    for number in range(800):
+        operator = f"operator-{number % 12}"
+        machine.apply(
+            messages.IntentStated(
+                operator,
+                f"{number}",
+                messages.TakeOut("north"),
+                messages.Facts(),
+                100.0,
+                600.0,
+            )
+        )
+        if number in (700, 799):
+            sizes.append(len(machine.snapshot()))
+    assert sizes[1] <= sizes[0] * 1.02
+    assert sizes[1] < 1_000_000
+
+
+def test_one_operators_flood_leaves_the_others_answers():
+    machine = _ready()
+    first = _stated(machine, messages.TakeOut("north"))
+    for number in range(500):
+        command = messages.IntentStated(
+            "ion",
+            f"{number}",
+            messages.TakeOut("south"),
+            messages.Facts(),
+            100.0,
+            600.0,
+        )
+        machine.apply(command)
+    still_open = machine.apply(messages.OpenPlansRead(100.0)).plans
+    assert len(still_open) == 1 + plan_book.MAX_OPEN_PER_OPERATOR
+    assert _stated(machine, messages.TakeOut("north")) == first
+    read = messages.PlanRead(first.plan.id, 100.0)
+    assert machine.apply(read).plan.state is messages.PlanState.OPEN
+
+
+def test_changed_service_keeps_what_is_not_named():
+    machine = _ready()
+    change = messages.ChangeService("cutting-desk", ("north",))
+    plan = _stated(machine, change).plan
+    assert _confirm(machine, plan).reason == ""
+    kept = fakes.service()
+    changed = machine.view.services[0]
+    assert changed.data_centres == ("north",)
+    assert (changed.address, changed.port) == (kept.address, kept.port)
+    assert isinstance(changed, view.Service)
