Follow every keeper epoch of a view that skips revisions

Cause: a node shows its slices only the newest view. When two VMs were lost at once, both changes came in one view, and every keeper took itself for one that had missed an epoch. The daemon also called the slice by a name it didn't have when a caller went away. Change: a view lists its latest changes of keepers; a keeper enters the epochs between one by one. Requests.holds and silent as the daemon calls them. Conclusion: the new case of two VMs lost at once passes, and the state machine with views that skip revisions.

--- a/ebonytally/config.py
+++ b/ebonytally/config.py
@@ -33,10 +33,11 @@
     if changed is old:
         return attrs.evolve(old, revision=revision)
     epoch = old.keeper_epoch
-    before = old.keeper_before
+    changes = old.keeper_changes
     if _keepers(changed) != _keepers(old):
-        before = epoch
         epoch = revision
+        latest = _keeper_changes(old, changed, epoch)
+        changes = (*changes, *latest)[-view.MAX_KEEPER_CHANGES :]
     config_revision = old.config_revision
     if isinstance(command, _OPERATORS):
         config_revision = revision
@@ -45,7 +46,7 @@
         revision=revision,
         config_revision=config_revision,
         keeper_epoch=epoch,
-        keeper_before=before,
+        keeper_changes=changes,
     )
 
 
@@ -66,6 +67,26 @@
     )
 
 
+def _keeper_changes(
+    old: view.View,
+    new: view.View,
+    epoch: int,
+) -> tuple[view.KeeperChange, ...]:
+    kept = _keepers(old)
+    keeps = _keepers(new)
+    names = {name for name, _, _ in kept ^ keeps}
+    return tuple(
+        view.KeeperChange(
+            epoch=epoch,
+            name=name,
+            data_centre=(vm_of(new, name) or vm_of(old, name)).data_centre,
+            kept=any(name == one[0] for one in kept),
+            keeps=any(name == one[0] for one in keeps),
+        )
+        for name in sorted(names)
+    )
+
+
 @functools.singledispatch
 def _changed(command: object, old: view.View) -> view.View:
     """Return `old` with the change, or `old` itself for none."""
--- a/ebonytally/daemon_ports.py
+++ b/ebonytally/daemon_ports.py
@@ -64,7 +64,7 @@
 
     def silent(self, attempt: int) -> bool:
         """Ask whether to give up an attempt without progress."""
-        return self._node.requests.silent(attempt)
+        return self._node.requests.silent(attempt, self.now())
 
     def refused(self, reason: reasons.Refusal) -> None:
         """Count a refusal that needed no decision."""
--- a/ebonytally/key_places.py
+++ b/ebonytally/key_places.py
@@ -33,20 +33,77 @@
         return bool(self.first and self.second)
 
 
-def pairs(view: views.View) -> tuple[Pair, ...]:
-    """Return the keepers of each bucket, by rendezvous hashing."""
-    up = [vm for vm in view.vms if vm.state is views.VmState.UP]
-    return tuple(_pair(bucket, up) for bucket in range(key_id.BUCKETS))
+@attrs.frozen
+class Epoch:
+    """The VMs that keep records in one keeper epoch.
+
+    :param number: revision with which it began
+    :param data_centres: data centre of each of the VMs, by name
+    """
+
+    number: int
+    data_centres: dict[str, str]
+
+    def pairs(self) -> tuple[Pair, ...]:
+        """Return the keepers of each bucket, by rendezvous hashing."""
+        return tuple(
+            _pair(bucket, self.data_centres)
+            for bucket in range(key_id.BUCKETS)
+        )
+
+
+def epochs(view: views.View, after: int) -> list[Epoch] | None:
+    """Return the keeper epochs of a view that follow epoch `after`.
+
+    :return: oldest first; None when the view no longer tells them all
+    """
+    changes = view.keeper_changes
+    full = len(changes) >= views.MAX_KEEPER_CHANGES
+    if full and changes[0].epoch > after:
+        return None
+    found = [present(view)]
+    for change in reversed(changes):
+        if change.epoch <= after:
+            break
+        if change.epoch < found[-1].number:
+            found.append(_before(found[-1], view, change.epoch))
+    return found[::-1]
+
+
+def present(view: views.View) -> Epoch:
+    """Return the present keeper epoch of a view."""
+    return Epoch(
+        view.keeper_epoch,
+        {
+            vm.name: vm.data_centre
+            for vm in view.vms
+            if vm.state is views.VmState.UP
+        },
+    )
+
+
+def _before(later: Epoch, view: views.View, number: int) -> Epoch:
+    """Return epoch `number`, the one before `later`."""
+    data_centres = dict(later.data_centres)
+    for change in view.keeper_changes:
+        if change.epoch != later.number:
+            continue
+        if change.kept:
+            data_centres[change.name] = change.data_centre
+        else:
+            data_centres.pop(change.name, None)
+    return Epoch(number, data_centres)
 
 
-def _pair(bucket: int, up: list[views.Vm]) -> Pair:
-    ranked = sorted(up, key=lambda vm: _score(bucket, vm.name))
+def _pair(bucket: int, data_centres: dict[str, str]) -> Pair:
+    ranked = sorted(data_centres, key=lambda name: _score(bucket, name))
     if not ranked:
         return Pair()
     first = ranked[0]
-    others = [vm for vm in ranked if vm.data_centre != first.data_centre]
+    home = data_centres[first]
+    others = [name for name in ranked if data_centres[name] != home]
     others = others or ranked[1:]
-    return Pair(first.name, others[0].name if others else "")
+    return Pair(first, others[0] if others else "")
 
 
 def _score(bucket: int, name: str) -> int:
--- a/ebonytally/key_sync.py
+++ b/ebonytally/key_sync.py
@@ -127,16 +127,15 @@
             self._holds.clear()
             self._pairs = ()
             self._epoch = -1
-        old = self._pairs
-        step = view.keeper_before == self._epoch
-        new = key_places.pairs(view)
-        for bucket, pair in enumerate(new):
-            before = old[bucket] if old else key_places.Pair()
-            self._moved(bucket, before, pair, view.keeper_epoch, step, now)
+        epochs = key_places.epochs(view, self._epoch)
+        step = epochs is not None and self._epoch >= 0
+        if not step:
+            epochs = [key_places.present(view)]
+        for epoch in epochs:
+            self._enter(epoch, step, now)
         for hold in self._holds.values():
             hold.sources &= alive
-        self._epoch = view.keeper_epoch
-        self._pairs = new
+            hold.owed &= alive
         self._asked.clear()
         self._arrivals.clear()
 
@@ -212,6 +211,24 @@
             if hold is not None:
                 hold.owed.discard(peer)
 
+    def _enter(
+        self,
+        epoch: key_places.Epoch,
+        step: bool,
+        now: float,
+    ) -> None:
+        """Go on to a keeper epoch.
+
+        :param step: it follows the last one that was entered
+        """
+        old = self._pairs
+        new = epoch.pairs()
+        for bucket, pair in enumerate(new):
+            before = old[bucket] if old else key_places.Pair()
+            self._moved(bucket, before, pair, epoch.number, step, now)
+        self._epoch = epoch.number
+        self._pairs = new
+
     def _moved(
         self,
         bucket: int,
@@ -221,10 +238,7 @@
         step: bool,
         now: float,
     ) -> None:
-        """Follow one bucket to a new epoch.
-
-        :param step: no epoch lies between the last view and this one
-        """
+        """Follow one bucket to a new epoch."""
         hold = self._holds.get(bucket)
         newcomers = set(new.names) - set(old.names) - {self._me}
         if hold is not None:
--- a/ebonytally/requests.py
+++ b/ebonytally/requests.py
@@ -128,7 +128,7 @@
             return False
         return self._budget.left and now + times.mean_s <= live.head.deadline
 
-    def known(self, req: int) -> bool:
+    def holds(self, req: int) -> bool:
         """Tell whether a request will still be answered."""
         return req in self._live
 
--- a/ebonytally/view.py
+++ b/ebonytally/view.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+MAX_KEEPER_CHANGES = 64
+
 
 class UpstreamState(enum.StrEnum):
     """Where an upstream is in its life."""
@@ -128,6 +130,22 @@
     revision: int = 0
 
 
+@attrs.frozen
+class KeeperChange:
+    """A VM that began or ceased to keep records, or started again.
+
+    :param epoch: keeper epoch that began with it
+    :param kept: it kept records before
+    :param keeps: it keeps records from then on
+    """
+
+    epoch: int
+    name: str
+    data_centre: str
+    kept: bool
+    keeps: bool
+
+
 @attrs.frozen
 class View:
     """All replicated state at one revision.
@@ -136,7 +154,8 @@
     :param config_revision: revision of the last operators' change
     :param out: names of the data centres taken out
     :param keeper_epoch: revision at which the keepers last changed
-    :param keeper_before: keeper epoch before that, 0 for none
+    :param keeper_changes: the latest changes of the keepers, in order,
+        `MAX_KEEPER_CHANGES` at most
     :param next_upstream_id: id that the next new upstream gets
     """
 
@@ -149,4 +168,4 @@
     tables: tuple[Table, ...] = ()
     keeper_epoch: int = 0
     next_upstream_id: int = 1
-    keeper_before: int = 0
+    keeper_changes: tuple[KeeperChange, ...] = ()
--- a/tests/key_cluster.py
+++ b/tests/key_cluster.py
@@ -209,11 +209,15 @@
             node.lease_until = self.now + LEASE_S
 
     def _catch_up(self, name: str, node: Node) -> None:
-        while node.applied + 1 < len(self.log):
-            committed, new = self.log[node.applied + 1]
-            if committed > self.now - node.lag_s:
-                return
-            node.applied += 1
+        """Show the node the newest view that has reached it."""
+        reached = node.applied
+        while reached + 1 < len(self.log):
+            if self.log[reached + 1][0] > self.now - node.lag_s:
+                break
+            reached += 1
+        if reached > node.applied:
+            node.applied = reached
+            new = self.log[reached][1]
             self._perform(name, node.requests.changed(new, self.now))
 
     def _deliver(self) -> None:
--- a/tests/test_key_cases.py
+++ b/tests/test_key_cases.py
@@ -29,7 +29,7 @@
 
 def _keepers(cluster, key: str) -> tuple[str, str]:
     bucket = key_id.bucket(key_id.parse(key).raw)
-    return key_places.pairs(cluster.latest)[bucket].names
+    return key_places.present(cluster.latest).pairs()[bucket].names
 
 
 def _others(cluster, key: str) -> list[str]:
@@ -164,6 +164,20 @@
     assert cluster.runs[key] == 1
 
 
+def test_two_vms_lost_at_once_leave_the_other_keeper_knowing():
+    cluster = _settled(count=5)
+    key = _key(cluster)
+    first, second = _keepers(cluster, key)
+    _run(cluster, _others(cluster, key)[0], key)
+    cluster.kill(first)
+    cluster.kill(_others(cluster, key)[0])
+    cluster.advance(3.0)
+    cluster.send(second, key)
+    cluster.advance(0.5)
+    assert _last(cluster).outcome is O.ANSWERED
+    assert cluster.runs[key] == 1
+
+
 def test_both_keepers_lost_at_once_is_unknown_and_new_keys_run():
     cluster = _settled(count=5)
     key = _key(cluster)
--- a/tests/test_key_machine.py
+++ b/tests/test_key_machine.py
@@ -64,7 +64,7 @@
     def caller_goes(self, back):
         req = self.reqs[-min(back, len(self.reqs))]
         node = self.cluster.nodes.get(self.cluster.heads[req][0])
-        if node is not None and node.requests.known(req):
+        if node is not None and node.requests.holds(req):
             name = self.cluster.heads[req][0]
             acts = node.requests.cancelled(req, self.cluster.now)
             self.cluster._perform(name, acts)
--- a/tests/test_request_http.py
+++ b/tests/test_request_http.py
@@ -130,7 +130,7 @@
 
     def cancelled(self, req) -> bool:
         self._perform(self.requests.cancelled(req, self.now()))
-        return self.requests.known(req)
+        return self.requests.holds(req)
 
     def attempt_done(self, attempt, result) -> None:
         self.results.append(result)
