--- /dev/null
+++ b/benches/__main__.py
@@ -0,0 +1,52 @@
+"""Run one measurement: ``python -m benches NAME [--seed N] [--json]``.
+
+The last line of output is one JSON object; units are in the keys.
+"""
+
+import argparse
+import importlib
+import json
+import os
+import sys
+
+NAMES = (
+    "flows",
+    "imbalance",
+    "outage",
+    "requests",
+    "control",
+    "decide",
+    "restart",
+    "capacity",
+)
+
+
+def main(argv: list[str]) -> int:
+    """Run the named measurement and print its figures."""
+    parser = argparse.ArgumentParser(prog="scripts/bench")
+    parser.add_argument("name", choices=NAMES)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--report", metavar="DIR")
+    args = parser.parse_args(argv)
+    wanted = f"benches.bench_{args.name}"
+    try:
+        bench = importlib.import_module(wanted)
+    except ModuleNotFoundError as exc:
+        if exc.name != wanted:
+            raise
+        print(f"scripts/bench: {args.name} isn't there yet", file=sys.stderr)
+        return 2
+    figures = bench.run(args.seed, args.json)
+    line = json.dumps(figures, sort_keys=True)
+    if args.report:
+        os.makedirs(args.report, exist_ok=True)
+        path = os.path.join(args.report, f"{args.name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(line + "\n")
+    print(line)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
