--- a/ebonytally/actions.py
+++ b/ebonytally/actions.py
@@ -5,7 +5,7 @@
 import attrs
 
 
-@attrs.frozen
+@attrs.define
 class Send:
     """Send a registered message to another entry VM, best effort."""
 
@@ -13,10 +13,13 @@
     msg: object
 
 
-@attrs.frozen
+@attrs.define
 class Forward:
     """Send an IP packet to an upstream, as the payload of a datagram.
 
+    Not frozen: one is made for each packet, and that would take thrice
+    the time.
+
     :param upstream: upstream id, for counting
     """
 
--- a/ebonytally/flow_keeper.py
+++ b/ebonytally/flow_keeper.py
@@ -302,13 +302,7 @@
         if held.hops >= MAX_HOPS:
             return self.refuse(reasons.Refusal.PACKET_LOOP)
         flags |= flow_messages.PLACED | flow_messages.RECORD
-        head = flow_messages.Hop(
-            held.hops + 1,
-            flags,
-            target.id,
-            self.site.epoch,
-        )
-        return [actions.Send(other, flow_messages.hop(head, held.data))]
+        return [self._hop(held, other, flags, target.id)]
 
     def _note(
         self,
@@ -359,13 +353,7 @@
             return self.refuse(reason)
         if held.hops >= MAX_HOPS:
             return self.refuse(reasons.Refusal.PACKET_LOOP)
-        head = flow_messages.Hop(
-            held.hops + 1,
-            flow_messages.PLACED,
-            target.id,
-            self.site.epoch,
-        )
-        return [actions.Send(peer, flow_messages.hop(head, held.data))]
+        return [self._hop(held, peer, flow_messages.PLACED, target.id)]
 
     def _to_other(self, held: Held) -> list[actions.Action]:
         other = self.site.keepers.other(held.group, self.site.me)
@@ -377,8 +365,23 @@
         """Hand an undecided packet to another entry VM."""
         if held.hops >= MAX_HOPS:
             return self.refuse(reasons.Refusal.PACKET_LOOP)
-        head = flow_messages.Hop(held.hops + 1, 0, 0, self.site.epoch)
-        return [actions.Send(peer, flow_messages.hop(head, held.data))]
+        return [self._hop(held, peer, 0, 0)]
+
+    def _hop(
+        self,
+        held: Held,
+        peer: str,
+        flags: int,
+        upstream: int,
+    ) -> actions.Send:
+        msg = flow_messages.hop(
+            held.hops + 1,
+            flags,
+            upstream,
+            self.site.epoch,
+            held.data,
+        )
+        return actions.Send(peer, msg)
 
     def _object(self, held: Held) -> list[actions.Action]:
         """Tell the entry VM not to send this flow to the base."""
--- a/ebonytally/flow_messages.py
+++ b/ebonytally/flow_messages.py
@@ -49,10 +49,15 @@
     epoch: int
 
 
-def hop(head: Hop, packet: bytes) -> PacketHop:
-    """Return a packet with its head."""
-    packed = _HEAD.pack(head.hops, head.flags, head.upstream, head.epoch)
-    return PacketHop(packed, packet)
+def hop(
+    hops: int,
+    flags: int,
+    upstream: int,
+    epoch: int,
+    packet: bytes,
+) -> PacketHop:
+    """Return a packet with its head; see Hop for the arguments."""
+    return PacketHop(_HEAD.pack(hops, flags, upstream, epoch), packet)
 
 
 def unpack(msg: PacketHop) -> Hop | None:
--- a/ebonytally/flow_packet.py
+++ b/ebonytally/flow_packet.py
@@ -19,19 +19,25 @@
 HASH_BITS = 60
 ANSWER_TTL = 64
 
+# Version 4 and a header without options.
+_PLAIN = 0x45
 _MIN_HEADER_BYTES = 20
 _PORT_BYTES = 4
 _UDP_HEADER_BYTES = 8
 _TCP_HEADER_BYTES = 20
 _TCP_FLAGS_OFFSET = 13
 _FRAGMENT_MASK = 0x3FFF
+_TCP_BITS = TCP << 16
+_UDP_BITS = UDP << 16
+_ENDS_MASK = 0xFFFFFFFF_0000FFFF
 _HEADER = struct.Struct("!BxHxxHBB")
-_KEY = struct.Struct("!IH")
+_ENDS = struct.Struct("!Q")
+_FAST_BYTES = _MIN_HEADER_BYTES + _TCP_HEADER_BYTES
+_fast = struct.Struct("!xxHxxHBBxxxxxxQxxxxxxxxxB").unpack_from
 _ICMP_QUOTED_BYTES = 8
 _hash = xxhash.xxh3_64_intdigest
 
-# What START and END mean for each value of the low three TCP flag bits
-# (FIN 1, SYN 2, RST 4) and bit 4 (ACK).
+# By the byte of TCP flags: FIN 1, SYN 2, RST 4, ACK 16.
 _MARKS = tuple(
     END if flags & 0x05 else (START if flags & 0x12 == 0x02 else 0)
     for flags in range(256)
@@ -43,7 +49,8 @@
     """What the flow decision needs to know of a packet.
 
     :param service: destination address, port and protocol, see `key`
-    :param flow: hash of addresses, ports and protocol, 60 bits
+    :param flow: hash of addresses and ports, seeded by the protocol,
+        60 bits
     :param marks: START for a SYN, END for FIN or RST, both TCP only
     :param protocol: TCP or UDP
     """
@@ -57,16 +64,34 @@
 def key(address: str, port: int, protocol: int) -> int:
     """Return the number that stands for a service's address."""
     packed = int(ipaddress.IPv4Address(address))
-    return (packed << 16 | port) << 8 | protocol
+    return packed << 32 | protocol << 16 | port
 
 
 def parse(data: bytes) -> Parsed | reasons.Refusal:
     """Return what matters of an IPv4 packet, or why it is refused."""
     size = len(data)
+    if size < _FAST_BYTES or data[0] != _PLAIN:
+        return _careful(data)
+    total, fragment, ttl, protocol, ends, flags = _fast(data)
+    if total != size or fragment & _FRAGMENT_MASK or not ttl:
+        return _careful(data)
+    if protocol == TCP:
+        return Parsed(
+            ends & _ENDS_MASK | _TCP_BITS,
+            _hash(data[12:24], TCP) >> 4,
+            _MARKS[flags],
+            TCP,
+        )
+    return _careful(data)
+
+
+def _careful(data: bytes) -> Parsed | reasons.Refusal:
+    """Parse packets that are short, odd, damaged or not TCP."""
+    size = len(data)
     if size < _MIN_HEADER_BYTES:
         return reasons.Refusal.PACKET_TRUNCATED
     first, total, fragment, ttl, protocol = _HEADER.unpack_from(data)
-    if first != 0x45 and (first >> 4 != 4 or first < 0x45):
+    if first >> 4 != 4 or first < _PLAIN:
         return reasons.Refusal.PACKET_MALFORMED
     if total != size:
         if total > size:
@@ -81,20 +106,22 @@
         if size < at + _TCP_HEADER_BYTES:
             return reasons.Refusal.PACKET_TRUNCATED
         marks = _MARKS[data[at + _TCP_FLAGS_OFFSET]]
+        bits = _TCP_BITS
     elif protocol == UDP:
         if size < at + _UDP_HEADER_BYTES:
             return reasons.Refusal.PACKET_TRUNCATED
         marks = 0
+        bits = _UDP_BITS
     else:
         return reasons.Refusal.PACKET_PROTOCOL
-    if at == _MIN_HEADER_BYTES:
-        ends = data[12:24]
-    else:
-        ends = data[12:20] + data[at : at + _PORT_BYTES]
-    address, port = _KEY.unpack_from(ends, 4)[0], ends[10] << 8 | ends[11]
-    flow = _hash(ends + data[9:10]) >> 4
-    service = (address << 16 | port) << 8 | protocol
-    return Parsed(service, flow, marks, protocol)
+    both = data[12:20] + data[at : at + _PORT_BYTES]
+    ends = _ENDS.unpack_from(both, 4)[0]
+    return Parsed(
+        ends & _ENDS_MASK | bits,
+        _hash(both, protocol) >> 4,
+        marks,
+        protocol,
+    )
 
 
 def source(data: bytes) -> str:
--- a/ebonytally/flows.py
+++ b/ebonytally/flows.py
@@ -116,10 +116,26 @@
                 ]
         if data[12:16] in self._own:
             return self._refuse(reasons.Refusal.PACKET_LOOP)
-        held = flow_keeper.lookup(parsed, route, data, 0, "")
-        target = route.direct[held.slot]
-        if target is not None and not parsed.marks and self._site.leased:
+        return self._by_keeper(parsed, route, data, now)
+
+    def _by_keeper(
+        self,
+        parsed: flow_packet.Parsed,
+        route: flow_routes.Route,
+        data: bytes,
+        now: float,
+    ) -> list[actions.Action]:
+        site = self._site
+        slot = parsed.flow & route.mask
+        target = route.direct[slot]
+        if target is not None and not parsed.marks and site.leased:
             self._recent.note(parsed.flow ^ target.mix, now)
+        group = route.group(slot)
+        first = site.keepers.first[group]
+        if first in site.peers and site.keepers.second[group] != site.me:
+            msg = flow_messages.hop(1, 0, 0, site.epoch, data)
+            return [actions.Send(first, msg)]
+        held = flow_keeper.lookup(parsed, route, data, 0, "")
         return self._towards_keeper(held, now)
 
     def handle(
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -156,8 +156,8 @@
     data = flow_bed.packet("192.0.2.1", 5, SERVICE, flow_bed.SYN)
     for one in bed.vms.values():
         for flags in (0, flow_messages.PLACED):
-            head = flow_messages.Hop(flow_keeper.MAX_HOPS, flags, 1, 1)
-            hop = flow_messages.hop(head, data)
+            hops = flow_keeper.MAX_HOPS
+            hop = flow_messages.hop(hops, flags, 1, 1, data)
             found = one.handle("v9", hop, bed.now)
             assert not any(isinstance(a, flow_bed.actions.Send) for a in found)
 
