--- a/ebonytally/settings.py
+++ b/ebonytally/settings.py
@@ -111,7 +111,7 @@
     lease_s: float = 3.0
     cold_share: int = 100
     warm_requests: int = 100
-    loan_s: float = 1.0
+    loan_s: float = 0.6
     eject_share: float = 0.34
     eject_s: float = 5.0
 
--- a/ebonytally/slot_broker.py
+++ b/ebonytally/slot_broker.py
@@ -5,6 +5,8 @@
 and the longest attempt that they may have started have ended.
 """
 
+import math
+
 import attrs
 
 from ebonytally import settings
@@ -15,11 +17,13 @@
 from ebonytally import warmup
 
 RESEND_S = 0.1
-ANSWER_GAP_S = 0.2
+ANSWER_PART = 0.2
 RECALL_GAP_S = 0.1
 NEED_FRESH_S = 1.5
 EXCLUDE_S = 1.0
 RETIRED_BOOTS = 8
+LONGEST_OF_USUAL = 10
+SHORTEST_HOLD_S = 0.5
 
 
 @attrs.define
@@ -54,7 +58,7 @@
     :param since: revision from which on it lends it
     :param settled: every entry VM knows that this one lends it
     :param fresh: nobody lent it before
-    :param unheard_until: until then, VMs not heard may use its slots
+    :param leases_end: until then, VMs not heard may start attempts
     :param entries: loans by holder
     :param told: running totals last reported, by holder
     :param excluded: holders that failed with it, until when
@@ -65,7 +69,7 @@
     since: int
     settled: bool
     fresh: bool
-    unheard_until: float
+    leases_end: float
     retired: bool = False
     recalled: float = float("-inf")
     entries: dict[str, slot_ledger.Entry] = attrs.field(factory=dict)
@@ -77,6 +81,18 @@
         """Return the most attempts that holders may have under way."""
         return sum(entry.bound for entry in self.entries.values())
 
+    @property
+    def longest_s(self) -> float:
+        """Return how long an attempt lasts at most, infinity if unknown.
+
+        A holder that is lost can't say when its attempts end; ten times
+        the usual time is taken as the end, if their deadline isn't before.
+        """
+        usual_ms = max((use.took_ms for use in self.told.values()), default=0)
+        if not usual_ms:
+            return math.inf
+        return max(SHORTEST_HOLD_S, LONGEST_OF_USUAL * usual_ms / 1000)
+
 
 class Broker:
     """Lends the slots of the upstreams whose lender this entry VM is.
@@ -94,13 +110,16 @@
         self._peers: dict[str, _Peer] = {}
         self.endpoints: dict[int, _Endpoint] = {}
         self._leased = True
+        self._due = True
 
     def reach(self, leased: bool) -> None:
         """Note whether the configuration lease holds."""
+        self._due |= self._leased != leased
         self._leased = leased
 
     def changed(self, new: view.View, now: float) -> None:
         """Take a newer view and the upstreams to lend."""
+        self._due = True
         old = self._view
         self._view = new
         before = {one.id for one in old.upstreams}
@@ -130,18 +149,14 @@
             self._peers.pop(name, None)
 
     def _begin(self, one: view.Upstream, fresh: bool, now: float) -> None:
-        wait_s = (
-            self._cfg.limits.lease_s
-            + self._cfg.upstreams.loan_s
-            + self._hold_s()
-        )
+        wait_s = self._cfg.limits.lease_s + self._cfg.upstreams.loan_s
         self.endpoints[one.id] = _Endpoint(
             upstream=one,
             warm=warmup.Warmup(self._cfg.upstreams, one.slots, one.share),
             since=self._view.revision,
             settled=fresh,
             fresh=fresh,
-            unheard_until=now if fresh else now + wait_s,
+            leases_end=now if fresh else now + wait_s,
         )
 
     def _hold_s(self) -> float:
@@ -156,9 +171,17 @@
         """Lend nothing more of an upstream that drains or started anew."""
         if upstream in self.endpoints:
             self.endpoints[upstream].retired = True
+            self._due = True
+
+    def announced(self, upstream: int, at: float) -> None:
+        """Note when the known incarnation of an upstream was heard."""
+        endpoint = self.endpoints.get(upstream)
+        if endpoint is not None:
+            endpoint.warm.announced(at)
 
     def report(self, peer: str, msg: slot_messages.Report, now: float) -> None:
         """Take a holder's report."""
+        self._due = True
         known = self._peers.setdefault(peer, _Peer())
         if msg.boot in known.retired:
             return
@@ -246,25 +269,37 @@
             and self._peers[vm.name].revision >= endpoint.since
             for vm in self._view.vms
         )
-        endpoint.settled = heard or now >= endpoint.unheard_until
+        hold_s = min(endpoint.longest_s, self._hold_s())
+        endpoint.settled = heard or now >= endpoint.leases_end + hold_s
 
     def tick(self, now: float) -> None:
         """Free the slots of holders that can't use them any more."""
+        self._due = True
         for name, peer in self._peers.items():
-            hold_s = max(peer.hold_s, self._cfg.requests.default_timeout_s)
-            if now >= peer.lease_until + hold_s and name != self._me:
+            if self._lost(peer, now) and name != self._me:
                 self._forget(name, peer, now)
         for endpoint in self.endpoints.values():
             self._settle(endpoint, now)
 
+    def _lost(self, peer: _Peer, now: float) -> bool:
+        """Whether a holder isn't heard and can't start attempts."""
+        silent = now - peer.received >= self._cfg.upstreams.loan_s
+        return silent and now >= peer.lease_until
+
     def _forget(self, name: str, peer: _Peer, now: float) -> None:
-        if now - peer.received < self._cfg.upstreams.loan_s:
-            return
+        """Free the slots whose attempts must have ended by now."""
         for endpoint in self.endpoints.values():
-            endpoint.entries.pop(name, None)
+            if name not in endpoint.entries:
+                continue
+            hold_s = min(endpoint.longest_s, peer.hold_s or self._hold_s())
+            if now >= peer.lease_until + hold_s:
+                del endpoint.entries[name]
 
     def lend(self, now: float) -> list[tuple[str, slot_messages.Loans]]:
         """Lend what is free to those who need it most; return messages."""
+        if not self._due:
+            return []
+        self._due = False
         demand = self._demand(now)
         for endpoint in sorted(
             self.endpoints.values(),
@@ -393,7 +428,7 @@
         """Move a slot from the least pressed to the most pressed one."""
         if now - endpoint.recalled < RECALL_GAP_S:
             return
-        if any(entry.recalled for entry in endpoint.entries.values()):
+        if self._recalling(endpoint, now):
             return
         gain = {
             name: (waiting + busy) / (held + 1)
@@ -407,6 +442,7 @@
             name: self._loss(holders.get(name))
             for name, entry in endpoint.entries.items()
             if entry.count > 0 and name != starving
+            if not self._lost(self._peers[name], now)
         }
         if not loss:
             return
@@ -421,6 +457,13 @@
         holders[starving][0] -= 1
         holders[starving][2] += 1
 
+    def _recalling(self, endpoint: _Endpoint, now: float) -> bool:
+        """Whether a slot is on its way back from a holder that is heard."""
+        return any(
+            entry.recalled and not self._lost(self._peers[name], now)
+            for name, entry in endpoint.entries.items()
+        )
+
     def _loss(self, need: list[float] | None) -> float:
         """Return how pressed a holder is with one slot less."""
         if need is None:
@@ -432,11 +475,12 @@
 
     def _messages(self, now: float) -> list[tuple[str, slot_messages.Loans]]:
         out = []
+        answer_s = ANSWER_PART * self._cfg.upstreams.loan_s
         for name, peer in sorted(self._peers.items()):
             if now - peer.received >= self._cfg.upstreams.loan_s:
                 continue
             loans = self._unseen(name)
-            gap_s = RESEND_S if loans else ANSWER_GAP_S
+            gap_s = RESEND_S if loans else answer_s
             renew = peer.received > peer.sent and now - peer.sent >= gap_s
             again = loans and now - peer.sent >= gap_s
             if not peer.due and not renew and not again:
--- a/ebonytally/slot_holder.py
+++ b/ebonytally/slot_holder.py
@@ -15,7 +15,7 @@
 from ebonytally import upstream_health
 from ebonytally import view
 
-RENEW_S = 0.3
+RENEW_PART = 0.3
 STARVING_GAP_S = 0.05
 WANTING_GAP_S = 0.25
 IDLE_S = 0.1
@@ -95,8 +95,10 @@
         self._tallies: dict[int, _Tally] = {}
         self._demands: dict[str, _Demand] = {}
         self._leased = True
+        self._renew_s = RENEW_PART * cfg.upstreams.loan_s
         self._late: list[tuple[float, int]] = []
         self._long_hold = (0, float("-inf"))
+        self._due = True
         self.ready: set[str] = set()
 
     def changed(self, new: view.View, now: float) -> None:
@@ -111,6 +113,7 @@
             for name, those in self._services.items()
         }
         old = self._lender_of
+        self._due = True
         self._lender_of = {}
         for one in new.upstreams:
             name = upstream_choice.lender(new.vms, one)
@@ -204,6 +207,7 @@
             )
         if left_s <= lender.hold_s:
             return True
+        self._due = True
         lender.urgent = True
         return False
 
@@ -246,6 +250,7 @@
         demand = self._demand(service)
         if count:
             demand.last = now
+        self._due |= demand.waiting != count
         demand.waiting = count
 
     def answered(
@@ -298,6 +303,7 @@
         name = self._lender_of.get(upstream)
         if name:
             self._lender(name).urgent = True
+            self._due = True
 
     def _end(self, upstream: int, now: float) -> None:
         tally = self._tally(upstream)
@@ -322,6 +328,7 @@
             lender.flipped_ms = msg.stamp_ms
             lender.floor = 0
             lender.loans = {}
+        self._due = True
         until = msg.stamp_ms / 1000 + self._cfg.upstreams.loan_s
         lender.lease_until = max(lender.lease_until, until)
         lender.hold_s = msg.hold_s
@@ -351,6 +358,7 @@
 
     def tick(self, now: float) -> None:
         """Return idle slots and those of attempts that have ended."""
+        self._due = True
         while self._late and self._late[0][0] <= now:
             _, upstream = heapq.heappop(self._late)
             self._end(upstream, now)
@@ -391,13 +399,16 @@
 
     def flush(self, now: float) -> list[tuple[str, slot_messages.Report]]:
         """Return the reports that are due, with their lenders."""
+        if not self._due:
+            return []
+        self._due = False
         out = []
         for name, services in self._wanted(now).items():
             lender = self._lender(name)
             gap_s = self._gap_s(name, lender, services, now)
             loans = any(loan.count for loan in lender.loans.values())
             if loans or self._busy_at(name):
-                gap_s = min(gap_s, RENEW_S)
+                gap_s = min(gap_s, self._renew_s)
             if not lender.urgent and now - lender.sent < gap_s:
                 continue
             if gap_s == math.inf and not lender.urgent:
@@ -413,7 +424,7 @@
         now: float,
     ) -> float:
         """Return the seconds between reports while services are active."""
-        gap_s = RENEW_S if services else math.inf
+        gap_s = self._renew_s if services else math.inf
         for service in services:
             waiting = self._demand(service).waiting
             if waiting == lender.told.get(service, 0):
--- a/ebonytally/upstream_register.py
+++ b/ebonytally/upstream_register.py
@@ -131,6 +131,19 @@
         if len(self._newest) > MAX_REMEMBERED:
             del self._newest[next(iter(self._newest))]
 
+    def confirmed(self) -> list[tuple[int, float]]:
+        """Return upstreams of the view that announced that start here.
+
+        :return: pairs of upstream id and the time of the last time
+        """
+        out = []
+        for key, heard in self._heard.items():
+            known = self.find(key)
+            said = heard.said
+            if known and said and said.incarnation == known.incarnation:
+                out.append((known.id, heard.own))
+        return out
+
     def outdated(self) -> list[slot_messages.Changed]:
         """Return upstreams of the view that must get nothing new."""
         out = []
--- a/ebonytally/upstreams.py
+++ b/ebonytally/upstreams.py
@@ -81,6 +81,8 @@
         """Do what is due."""
         self._holder.tick(now)
         self._broker.tick(now)
+        for upstream, at in self._register.confirmed():
+            self._broker.announced(upstream, at)
         out = self._register.propose(now)
         out += self._register.lapsed(self._neighbours(), now)
         out += self._notices(now)
--- a/ebonytally/warmup.py
+++ b/ebonytally/warmup.py
@@ -16,7 +16,7 @@
 MIN_BACKOFF_S = 0.25
 TOOK_DECAY = 0.8
 RESTORE_OKS = 5
-RESTORE_AFTER_S = 2.0
+SAME_START_S = 0.5
 SLOW_RUN = 3
 STEPS = (100, 250, 500, FULL)
 
@@ -41,6 +41,7 @@
         self._rests: list[float] = []
         self._restore: float | None = None
         self._restore_oks = 0
+        self._same_start = False
         self._doubt_since = 0.0
         self._slow_run = 0
         self._backoff_s = 0.0
@@ -101,11 +102,21 @@
         if self._restore is None:
             return
         self._restore_oks += count
-        waited = now - self._doubt_since >= RESTORE_AFTER_S
-        if waited and self._restore_oks >= RESTORE_OKS:
+        if self._same_start and self._restore_oks >= RESTORE_OKS:
             self._done = max(self._done, self._restore)
             self._restore = None
 
+    def announced(self, at: float) -> None:
+        """Note that the incarnation in the view announced itself.
+
+        After a doubt it shows that the upstream didn't start anew, so
+        that its former share may come back soon.
+
+        :param at: when it did, seconds
+        """
+        if self._restore is not None:
+            self._same_start = at > self._doubt_since + SAME_START_S
+
     def slow(self, count: int, took_s: float, now: float) -> None:
         """Note answers far slower than usual: it may be cold again."""
         self._took_s = max(self._took_s, took_s)
@@ -124,6 +135,7 @@
             self._restore = self._done
         self._doubt_since = now
         self._restore_oks = 0
+        self._same_start = False
         self._set_share(0)
         doubled = max(MIN_BACKOFF_S, self._backoff_s * 2)
         self._backoff_s = min(doubled, self._cfg.eject_s)
