--- /dev/null
+++ b/modelcheck/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, for a model checker."""
--- a/tests/test_agreement_faults.py
+++ b/tests/test_agreement_faults.py
@@ -53,7 +53,10 @@
     @stateful.rule(name=NAME, seconds=st.integers(2, 10))
     def isolate_for_long(self, name, seconds):
         self.cluster.isolate(name)
-        self.run_on(seconds * 50)
+        for _ in range(seconds):
+            for other in NAMES:
+                self.propose(other, 1, False)
+            self.run_on(50)
         self.cluster.cuts.clear()
 
     @stateful.rule(
@@ -150,7 +153,7 @@
 
 TestFaults = FaultMachine.TestCase
 TestFaults.settings = settings(
-    max_examples=25 + SEEDS * 40,
+    max_examples=40 + SEEDS * 40,
     stateful_step_count=25,
     deadline=None,
     derandomize=not SEEDS,
--- a/tests/test_agreement_log.py
+++ b/tests/test_agreement_log.py
@@ -1,5 +1,7 @@
 """Agreement: elections, proposals, catching up."""
 
+from ebonytally import agreement_messages as messages
+from ebonytally import settings
 from tests import agreement_fakes as fakes
 
 NAMES = ("a", "b", "c")
@@ -65,3 +67,59 @@
     cluster.run_until(lambda: cluster.machines[slow].values == wanted, 5.0)
     assert cluster.nodes[leader].is_leader
     assert cluster.nodes[leader].term == term
+
+
+def test_cut_off_leader_stops_reading_before_another_can_lead():
+    for seed in range(8):
+        cluster = fakes.Cluster(NAMES, seed)
+        old = cluster.elect()
+        cluster.isolate(old)
+        seen = []
+        end = cluster.now + 6.0
+        while cluster.now < end:
+            cluster.step()
+            reading = [
+                name
+                for name in NAMES
+                if cluster.nodes[name].may_read(cluster.now)
+            ]
+            assert len(reading) <= 1
+            seen += reading
+        assert seen[-1] != old
+
+
+def test_restarted_voter_doesnt_end_the_lease_early():
+    """A vote soon after a restart could make a second reader."""
+    cluster = fakes.Cluster(NAMES)
+    leader = cluster.elect()
+    helper, other = _others(leader)
+    cluster.isolate(leader)
+    cluster.crash(other)
+    cluster.start(other)
+    cluster.step()
+    node = cluster.nodes[other]
+    request = messages.VoteRequest(
+        node.generation, node.term + 1, 99, 99, False, False, ""
+    )
+    acts = node.handle(helper, request, cluster.now)
+    assert not acts[0].msg.granted
+    later = cluster.now + cluster.limits.election_s
+    acts = node.handle(helper, request, later)
+    assert acts[0].msg.granted
+
+
+def test_catching_up_keeps_to_its_byte_budget():
+    limits = settings.Control(snapshot_entries=400, catch_up_bytes_s=4096)
+    cluster = fakes.Cluster(NAMES, limits=limits)
+    leader = cluster.elect()
+    slow = _others(leader)[0]
+    cluster.isolate(slow)
+    for number in range(500):
+        assert cluster.put(f"t{number}", f"{number:040d}").ok
+    cluster.cuts.clear()
+    began, sent = cluster.now, cluster.bytes_sent[leader]
+    wanted = cluster.machines[leader].values
+    cluster.run_until(lambda: cluster.machines[slow].values == wanted)
+    spent = cluster.bytes_sent[leader] - sent
+    chunk = 32 * 1024
+    assert spent < 4096 * (cluster.now - began + 1) + 2 * chunk
--- /dev/null
+++ b/tests/test_modelcheck_log.py
@@ -0,0 +1,101 @@
+"""The specification of the log: checked, and tied to the code."""
+
+import os
+import random
+
+import minicheck
+import pytest
+
+from modelcheck import log_model
+from modelcheck import log_state
+from tests import log_replay
+
+SEEDS = int(os.environ.get("EBONYTALLY_SEEDS", "0"))
+TWO = (0, 1)
+Bounds = log_state.Bounds
+Mistake = log_state.Mistake
+
+SMALL = [
+    Bounds(terms=3, entries=2, crashes=0, candidates=TWO),
+    Bounds(terms=2, entries=2, crashes=1, candidates=TWO),
+    Bounds(terms=2, entries=1, crashes=0, wipes=1, candidates=TWO),
+    Bounds(2, 2, 0, candidates=TWO, held=True, snapshots=True),
+]
+LARGE = [
+    Bounds(terms=2, entries=2, crashes=1),
+    Bounds(terms=2, entries=2, crashes=0, wipes=1, candidates=TWO),
+    Bounds(terms=4, entries=2, crashes=0, candidates=TWO),
+    Bounds(terms=2, entries=3, crashes=1, candidates=TWO),
+    Bounds(terms=2, entries=2, crashes=1, candidates=TWO, held=True),
+    Bounds(2, 3, 0, candidates=TWO, held=True, snapshots=True),
+    Bounds(2, 3, 1, candidates=TWO, held=True),
+    Bounds(3, 2, 0, wipes=1, candidates=TWO, snapshots=True),
+]
+FOUND_WITHIN = {
+    Mistake.VOTE_NOT_SYNCED: Bounds(2, 2, 1, candidates=TWO),
+    Mistake.APPEND_NOT_SYNCED: Bounds(2, 2, 1, candidates=TWO),
+    Mistake.OLD_TERM_COUNTED: Bounds(4, 1, 0, candidates=TWO),
+    Mistake.LOG_NOT_COMPARED: Bounds(2, 2, 0, candidates=TWO),
+    Mistake.IDENTITY_IGNORED: Bounds(1, 1, 0, wipes=1, candidates=TWO),
+    Mistake.GAP_ACCEPTED: Bounds(2, 2, 0, candidates=TWO),
+}
+
+
+@pytest.mark.parametrize("bounds", SMALL + (LARGE if SEEDS else []))
+def test_specification_is_safe(bounds):
+    model = log_model.LogModel(bounds).protocol()
+    found = minicheck.check_safety(model, max_states=1_000_000)
+    assert found["exhaustive"]
+    for name, verdict in found["properties"].items():
+        assert verdict["holds"], (name, verdict["counterexample"])
+
+
+@pytest.mark.parametrize("mistake", Mistake)
+def test_mistake_is_found(mistake):
+    bounds = FOUND_WITHIN[mistake]
+    model = log_model.LogModel(bounds, mistake).protocol()
+    found = minicheck.check_safety(model, max_states=15_000)
+    verdicts = [v["holds"] for v in found["properties"].values()]
+    assert False in verdicts
+
+
+def _walk(model, rng, length):
+    """Yield (label, state, model's other steps) of a random walk."""
+    state = log_state.INITIAL
+    for _ in range(length):
+        steps = list(model.steps(state))
+        if not steps:
+            return
+        kinds = sorted({label[0] for label, _ in steps})
+        kind = rng.choice(kinds)
+        label, state = rng.choice([s for s in steps if s[0][0] == kind])
+        yield label, state
+
+
+def _check_refusals(replay, model, state):
+    """Votes that the specification doesn't give aren't given."""
+    given = {
+        label[1:]
+        for label, _ in model.steps(state)
+        if label[0] in ("vote", "refuse")
+    }
+    for vm in log_state.VMS:
+        me = state.vms[vm]
+        if me.role != log_state.Role.CANDIDATE:
+            continue
+        for other in set(log_state.VMS) - me.votes:
+            if (vm, other) not in given:
+                assert not replay.ask_vote(vm, other).granted
+
+
+@pytest.mark.parametrize("seed", range(40 + 60 * SEEDS))
+def test_code_takes_the_steps_of_the_specification(seed):
+    bounds = Bounds(5, 6, 3, wipes=1, held=True, snapshots=True)
+    model = log_model.LogModel(bounds)
+    replay = log_replay.Replay()
+    done = []
+    for label, state in _walk(model, random.Random(seed), 40):
+        done.append(label)
+        replay.do(label)
+        _check_refusals(replay, model, state)
+        replay.check(state)
