--- a/ebonytally/cli.py
+++ b/ebonytally/cli.py
@@ -126,6 +126,8 @@
             return _check(path, options)
         case calls.Run(settings=path):
             return _run(path)
+        case calls.Repair() | calls.Recover():
+            return _mend(call, options)
     return _ask(call, options)
 
 
@@ -169,6 +171,24 @@
     return daemon.run(cfg)
 
 
+def _mend(call: calls.Repair | calls.Recover, options: _Options) -> int:
+    from ebonytally import cli_repair
+    from ebonytally import settings
+
+    mend = cli_repair.recover
+    if isinstance(call, calls.Repair):
+        mend = cli_repair.repair
+    try:
+        done = mend(settings.load(call.settings), call.yes)
+    except errors.SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_USAGE
+    except errors.StorageError as exc:
+        done = cli_repair.Done(False, (f"Nothing was done: {exc}",))
+    cli_repair.tell(done, options.json)
+    return EXIT_DONE if done.ok else EXIT_REFUSED
+
+
 def _ask(call: calls.Call, options: _Options) -> int:
     addresses = tuple(one for one in options.at.split(",") if one)
     if not addresses or not options.token:
--- a/ebonytally/cli_calls.py
+++ b/ebonytally/cli_calls.py
@@ -27,6 +27,22 @@
     settings: str
 
 
+@attrs.frozen
+class Repair:
+    """Empty the data folder of a settings file, or show what it holds."""
+
+    settings: str
+    yes: bool
+
+
+@attrs.frozen
+class Recover:
+    """Form the control VMs anew from a data folder, or show it."""
+
+    settings: str
+    yes: bool
+
+
 @attrs.frozen
 class Version:
     """Show the version."""
@@ -67,7 +83,7 @@
     path: str
 
 
-Call = Run | Check | Version | State | Close | Show
+Call = Run | Check | Repair | Recover | Version | State | Close | Show
 
 
 class _Services:
@@ -235,6 +251,16 @@
         """Check a settings file."""
         return Check(settings)
 
+    @decorators.SetParseFn(str)
+    def repair(self, settings, *, yes=""):
+        """Empty a damaged data folder."""
+        return Repair(settings, _flag("yes", yes))
+
+    @decorators.SetParseFn(str)
+    def recover(self, settings, *, yes=""):
+        """Form the control VMs anew from one copy."""
+        return Recover(settings, _flag("yes", yes))
+
     def status(self):
         """Tell how the system stands."""
         return Show("/v1/status")
--- a/ebonytally/cli_help.py
+++ b/ebonytally/cli_help.py
@@ -30,6 +30,8 @@
 What a machine runs:
   run SETTINGS               run the daemon until SIGTERM
   check SETTINGS             list every fault of a settings file
+  repair SETTINGS            empty the damaged data folder of one control VM
+  recover SETTINGS           when most control VMs are lost for good
   version
 Each has a page of its own: ebonytally datacentre --help
 """
@@ -107,6 +109,26 @@
 
 Lists every fault of the settings file, a line each. Starts nothing.
 Exit status: 0 no fault, 2 faults.
+""",
+    "repair": """
+ebonytally repair SETTINGS [--yes]
+
+For one control VM whose daemon says that its log is damaged, or that was
+told to take no part. Run it on that VM with the daemon stopped, while a
+majority of the other control VMs runs. The folder is emptied (old files
+are kept beside), and the VM fetches everything from the others.
+Without --yes it only shows what the folder holds.
+Exit status: 0 done, 1 not done, 2 bad usage or settings.
+""",
+    "recover": """
+ebonytally recover SETTINGS [--yes]
+
+When a majority of the control VMs is lost for good. Stop what is left.
+Run this without --yes on each VM that has a copy, compare, and take the
+newest: highest generation, then term, then entry. Run it there with
+--yes: that VM decides alone from then on. It says what may be missing.
+Repair the other control VMs afterwards. See docs/OPERATING.md first.
+Exit status: 0 done, 1 not done, 2 bad usage or settings.
 """,
     "version": """
 ebonytally version
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,6 @@
 """Tests of the command line: exit status, faults, and whole tours."""
 
+import contextlib
 import json
 import pathlib
 
@@ -8,6 +9,7 @@
 import pytest
 
 from ebonytally import cli
+from ebonytally import folder_lock
 from ebonytally import settings
 from tests import intent_fakes as fakes
 
@@ -167,3 +169,37 @@
     words = [*_CREATE, "--at", "127.0.0.1:1", "--token", "x", "--id", "m7"]
     assert cli.run(words) == 1
     assert "--id m7" in capsys.readouterr().err
+
+
+def _control_settings(tmp_path) -> str:
+    raw = json.loads(_EXAMPLES[-1].read_text())
+    raw["data_folder"] = str(tmp_path / "data")
+    path = tmp_path / "vm.json"
+    path.write_text(json.dumps(raw))
+    return str(path)
+
+
+@pytest.mark.parametrize("verb", ["repair", "recover"])
+def test_mending_by_hand_does_nothing_without_yes(verb, tmp_path, capsys):
+    path = _control_settings(tmp_path)
+    assert cli.run([verb, path]) == 1
+    assert "add --yes" in capsys.readouterr().err
+    assert cli.run([verb, str(tmp_path / "none.json"), "--yes"]) == 2
+
+
+def test_mending_is_refused_while_a_daemon_runs(tmp_path, capsys):
+    path = _control_settings(tmp_path)
+    folder = tmp_path / "data"
+    folder.mkdir()
+    with contextlib.ExitStack() as stack:
+        folder_lock.hold(stack, str(folder))
+        assert cli.run(["repair", path, "--yes"]) == 1
+    assert "another daemon uses it" in capsys.readouterr().err
+
+
+def test_recovery_without_a_copy_is_refused(tmp_path, capsys):
+    path = _control_settings(tmp_path)
+    assert cli.run(["recover", path, "--yes"]) == 1
+    assert "no data of a control VM" in capsys.readouterr().err
+    assert cli.run(["repair", path, "--yes"]) == 0
+    assert "Start the daemon" in capsys.readouterr().out
