--- a/ebonytally/agreement_replication.py
+++ b/ebonytally/agreement_replication.py
@@ -13,6 +13,8 @@
 # Share of the election timeout that a lease runs, for clocks that
 # don't run equally fast.
 LEASE_SHARE = 0.9
+# A follower bears the loss of one heartbeat.
+HEARTBEAT_SHARE = 0.4
 CHECK_QUORUM_TIMEOUTS = 2.0
 
 
@@ -56,6 +58,7 @@
         self._state = state
         self.progress: dict[str, Progress] = {}
         self._first_own = 0
+        self._heartbeat_s = HEARTBEAT_SHARE * state.cfg.election_s
 
     def lead(
         self,
@@ -95,7 +98,7 @@
             self.progress[name] = Progress(
                 identity=state.identity_of(name),
                 next=state.storage.last_index + 1,
-                sent_at=now - state.cfg.heartbeat_s,
+                sent_at=now - self._heartbeat_s,
                 acked_at=now,
                 budget=state.cfg.catch_up_bytes_s,
                 filled_at=now,
@@ -119,7 +122,7 @@
             self._fill(progress, now)
             if not progress.snapshot:
                 self._send_entries(peer, progress, now)
-            if now - progress.sent_at >= self._state.cfg.heartbeat_s:
+            if now - progress.sent_at >= self._heartbeat_s:
                 self._send(peer, progress, (), now)
 
     def needs_snapshot(self, progress: Progress) -> bool:
--- a/ebonytally/settings.py
+++ b/ebonytally/settings.py
@@ -120,7 +120,7 @@
 class Control:
     """Numbers of agreement, spread and members.
 
-    :param heartbeat_s: from leader to voters, and down the spread tree
+    :param heartbeat_s: down the spread tree
     :param election_s: shortest silence before an election
     :param lease_s: how long a configuration counts without renewal
     :param plan_s: how long a plan may be confirmed
@@ -130,12 +130,12 @@
     """
 
     heartbeat_s: float = 0.25
-    election_s: float = 0.8
+    election_s: float = 1.0
     lease_s: float = 1.5
     plan_s: float = 600.0
     snapshot_entries: int = 1000
     suspect_s: float = 1.5
-    catch_up_bytes_s: int = 128 * 1024
+    catch_up_bytes_s: int = 32 * 1024
 
 
 @attrs.frozen
--- a/tests/test_agreement_log.py
+++ b/tests/test_agreement_log.py
@@ -2,6 +2,7 @@
 
 from ebonytally import agreement_messages as messages
 from ebonytally import settings
+from ebonytally import wire
 from tests import agreement_fakes as fakes
 
 NAMES = ("a", "b", "c")
@@ -40,6 +41,17 @@
     assert cluster.machines[second].values == ["x"]
 
 
+def test_token_that_stands_twice_in_the_log_is_applied_once():
+    cluster = fakes.Cluster(NAMES)
+    leader = cluster.elect()
+    node = cluster.nodes[leader]
+    for _ in range(2):
+        put = wire.pack_message(fakes.Put("x"))
+        node._state.append_own("t1", put)
+    cluster.run(1.0)
+    assert all(m.values == ["x"] for m in cluster.machines.values())
+
+
 def test_crash_of_all_keeps_what_was_accepted():
     cluster = fakes.Cluster(NAMES)
     for number in range(50):
