--- a/ebonytally/plan_capacity.py
+++ b/ebonytally/plan_capacity.py
@@ -32,6 +32,12 @@
     return sum(load.open_flows for load in facts.loads if load.upstream in ids)
 
 
+def is_partial(cfg: view.View, facts: messages.Facts) -> bool:
+    """Tell whether some entry VM that is up wasn't counted."""
+    up = sum(vm.state is view.VmState.UP for vm in cfg.vms)
+    return 0 < facts.counted_by < up
+
+
 def usable(cfg: view.View, name: str) -> list[view.Upstream]:
     """Return the upstreams of a service that take new work."""
     centres = serving(cfg, name)
--- a/ebonytally/plan_warnings.py
+++ b/ebonytally/plan_warnings.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from ebonytally import plan_capacity
 from ebonytally import plan_messages as messages
 from ebonytally import view
 
@@ -27,7 +28,7 @@
     found += _control_warnings(before, after, facts)
     found += _open_warnings(others)
     found += _silent_warnings(facts)
-    found += _count_warnings(before, facts)
+    found += _count_warnings(before, capacities, facts)
     order = list(messages.Caution)
     found.sort(key=lambda warn: order.index(warn.caution))
     return tuple(found)
@@ -147,12 +148,16 @@
 
 def _count_warnings(
     cfg: view.View,
+    capacities: tuple[messages.Capacity, ...],
     facts: messages.Facts,
 ) -> typing.Iterator[messages.Warn]:
-    up = sum(vm.state is view.VmState.UP for vm in cfg.vms)
-    if 0 < facts.counted_by < up:
+    """Warn when a load was judged that isn't wholly known."""
+    shrinks = any(
+        one.connections_after < one.connections_before for one in capacities
+    )
+    if shrinks and plan_capacity.is_partial(cfg, facts):
         yield messages.Warn(
             messages.Caution.COUNTS_PARTIAL,
-            f"Flows were counted by {facts.counted_by} of {up} entry VMs; "
-            "there may be more.",
+            f"Flows were counted by {facts.counted_by} entry VMs only; "
+            "there are more.",
         )
--- a/ebonytally/plans.py
+++ b/ebonytally/plans.py
@@ -12,6 +12,7 @@
 from ebonytally import view
 
 _LISTED_VMS = 12
+_ENDING = (messages.TakeOut, messages.RemoveService)
 
 
 def make(
@@ -40,7 +41,10 @@
     ending = _flows_ending(intent, cfg, facts)
     capacities = plan_capacity.compare(cfg, after, facts)
     return messages.Draft(
-        changes=(*_changes(intent, cfg), *_ending_lines(ending)),
+        changes=(
+            *_changes(intent, cfg),
+            *_ending_lines(intent, cfg, facts, ending),
+        ),
         vms=_vms(intent, cfg),
         flows_ending=ending,
         capacities=capacities,
@@ -63,11 +67,21 @@
     return plan_capacity.open_flows(hit, facts)
 
 
-def _ending_lines(ending: int) -> tuple[str, ...]:
-    if ending == 0:
+def _ending_lines(
+    intent: messages.Intent,
+    cfg: view.View,
+    facts: messages.Facts,
+    ending: int,
+) -> tuple[str, ...]:
+    if not isinstance(intent, _ENDING):
         return ("No open flow ends.",)
     if ending < 0:
-        return ("Open flows end there; how many isn't known now.",)
+        return ("Open flows there end; how many isn't known now.",)
+    if plan_capacity.is_partial(cfg, facts):
+        return (
+            f"At least {ending} open flows end (not all entry VMs were "
+            "counted); their callers connect again.",
+        )
     return (f"About {ending} open flows end; their callers connect again.",)
 
 
--- a/tests/test_intents_machine.py
+++ b/tests/test_intents_machine.py
@@ -294,6 +294,10 @@
     plan = _stated(_ready(), messages.TakeOut("north"), facts=facts).plan
     assert plan.draft.flows_ending == -1
     assert any("isn't known" in line for line in plan.draft.changes)
+    facts = messages.Facts(counted_by=1)
+    plan = _stated(_ready(), messages.TakeOut("north"), facts=facts).plan
+    assert "No open flow ends." not in plan.draft.changes
+    assert any("At least 0" in line for line in plan.draft.changes)
 
 
 def test_control_vms_stay_enough_for_a_majority():
