--- a/ebonytally/spread.py
+++ b/ebonytally/spread.py
@@ -27,6 +27,7 @@
 MARGIN_S = 0.2
 PULL_EVERY_S = 0.1
 WHOLE_EVERY_S = 0.5
+REPORT_EVERY_S = 0.1
 
 
 @attrs.define
@@ -79,6 +80,8 @@
         self._whole_at: dict[str, float] = {}
         self._excluded: dict[str, float] = {}
         self._had_lease = False
+        self._report_to = ""
+        self._report_at = float("-inf")
 
     @property
     def present(self) -> view.View:
@@ -245,7 +248,7 @@
             if self._history.append(revision, packed):
                 fresh = messages.Entries(revision, (packed,))
                 out += self._push(fresh, now)
-        out.append(actions.Send(peer, self._report(now)))
+        self._report_to = peer
         return out
 
     def _whole(self, msg: messages.WholeView) -> list[actions.Action]:
@@ -319,16 +322,26 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Grant leases, ask for one, note the loss of one."""
         self._note_lease(now)
+        out = self._report_applied(now)
         if now < self._next_at:
-            return []
+            return out
         self._next_at = now + self._cfg.limits.heartbeat_s
         if self._leading is not None:
             self._exclude(now)
             self._seq += 1
             self._grant.seq = self._seq
             self._grant.excluded = tuple(sorted(self._excluded))
-            return self._grants(now)
-        return self._ask(now)
+            return out + self._grants(now)
+        return out + self._ask(now)
+
+    def _report_applied(self, now: float) -> list[actions.Action]:
+        """Report applied revisions, together if they come in a row."""
+        if not self._report_to or now < self._report_at:
+            return []
+        peer = self._report_to
+        self._report_to = ""
+        self._report_at = now + REPORT_EVERY_S
+        return [actions.Send(peer, self._report(now))]
 
     def _note_lease(self, now: float) -> None:
         leased = self.leased(now)
--- a/standins/bad_input.py
+++ b/standins/bad_input.py
@@ -44,7 +44,8 @@
     """Send bad input to one entry VM; return what went wrong."""
     address = deployment.daemons[0].address
     cases = {
-        "packet_malformed": lambda: _datagram(address, b"\x45rubbish"),
+        "packet_malformed": lambda: _datagram(address, b"\x00" * 60),
+        "packet_truncated": lambda: _datagram(address, b"\x45\x00"),
         "packet_unknown_address": lambda: _datagram(
             address,
             packets.build("10.8.0.1", 9, "10.8.8.8", 9, 2, 0, 0),
--- a/standins/judge.py
+++ b/standins/judge.py
@@ -93,7 +93,7 @@
     counts: collections.Counter = attrs.field(factory=collections.Counter)
     out_centre: str = ""
     out_at: float = 0.0
-    last_into_out: float = 0.0
+    last_into: dict[str, float] = attrs.field(factory=dict)
     back: bool = False
     imbalance: float = 0.0
     imbalance_limit: float = IMBALANCE_LIMIT
@@ -127,10 +127,8 @@
             req.runs += 1
 
     def _into(self, upstream: str, now: float) -> None:
-        if not self.out_centre or self.back:
-            return
-        if self.centre_of[upstream] == self.out_centre:
-            self.last_into_out = max(self.last_into_out, now)
+        if not self.back:
+            self.last_into[self.centre_of[upstream]] = now
 
     def taken_out(self, centre: str, now: float) -> None:
         """Note that a data centre's departure was confirmed."""
@@ -190,6 +188,7 @@
             for req in self.requests.values()
             for outcome in req.outcomes
         )
+        last = self.last_into.get(self.out_centre, 0.0)
         broken = sum(flow.broken for flow in self.flows.values())
         return Figures(
             flows=len(self.flows),
@@ -210,7 +209,7 @@
                 for req in self.requests.values()
                 if not req.idempotent
             ),
-            out_last_packet_s=max(0.0, self.last_into_out - self.out_at),
+            out_last_packet_s=round(max(0.0, last - self.out_at), 3),
             in_force_s=in_force_s,
             imbalance_max_over_mean=round(self.imbalance, 3),
             cut_requests=outcomes["cut"],
