--- a/ebonytally/daemon_ports.py
+++ b/ebonytally/daemon_ports.py
@@ -35,10 +35,7 @@
 
     def max_request_bytes(self, service: str) -> int:
         """Return the largest body of a service, 0 if it is unknown."""
-        for known in self._node.present.services:
-            if known.name == service:
-                return known.max_request_bytes
-        return 0
+        return self._node.requests.max_request_bytes(service)
 
     def request(self, head: request_head.RequestHead) -> None:
         """Hand in a caller's request."""
@@ -47,7 +44,7 @@
     def cancelled(self, req: int) -> bool:
         """Say that the caller went away; True if it is answered yet."""
         self._perform(self._node.requests.cancelled(req, self.now()))
-        return self._node.requests.holds(req)
+        return self._node.requests.known(req)
 
     def attempt_done(
         self,
