--- a/standins/callers.py
+++ b/standins/callers.py
@@ -88,20 +88,24 @@
         seen = packets.read(data)
         if seen is None or not seen.flags & packets.RST:
             return
-        flow = self._judge.flows.get(_flow_of(seen.dst, seen.port))
+        self.reset(seen.dst, seen.port)
+
+    def reset(self, address: str, port: int) -> None:
+        """End the flow of a caller's address and port."""
+        flow = self._judge.flows.get(_flow_of(address, port))
         if flow is not None:
             flow.reset = True
 
-    def open(self) -> None:
+    def open(self, now: float) -> None:
         """Open one more flow."""
         service = self._random.choice(self._services)
         flow = judges.Flow(self._next, service.name)
         self._next += 1
         self._judge.flows[flow.number] = flow
         self._live.append(flow)
-        self._send(flow, packets.SYN)
+        self._send(flow, packets.SYN, now)
 
-    def talk(self, count: int) -> None:
+    def talk(self, count: int, now: float) -> None:
         """Send a packet on `count` flows, first packets again if lost."""
         for _ in range(min(count, len(self._live))):
             flow = self._random.choice(self._live)
@@ -109,22 +113,22 @@
                 self._live.remove(flow)
                 continue
             flags = packets.ACK if flow.delivered else packets.SYN
-            self._send(flow, flags)
+            self._send(flow, flags, now)
 
-    def close(self, count: int) -> None:
+    def close(self, count: int, now: float) -> None:
         """End `count` flows."""
         for _ in range(min(count, len(self._live))):
             index = self._random.randrange(len(self._live))
             flow = self._live.pop(index)
-            self._send(flow, packets.FIN | packets.ACK)
+            self._send(flow, packets.FIN | packets.ACK, now)
 
     def live(self) -> int:
         """Return the number of open flows."""
         return len(self._live)
 
-    def _send(self, flow: judges.Flow, flags: int) -> None:
+    def _send(self, flow: judges.Flow, flags: int, now: float) -> None:
         flow.sent += 1
-        flow.last_sent_at[flow.sent] = time.monotonic()
+        flow.last_sent_at[flow.sent] = now
         if len(flow.last_sent_at) > 64:
             del flow.last_sent_at[next(iter(flow.last_sent_at))]
         service = next(
@@ -190,7 +194,7 @@
         req = judges.Request(mark, idempotent)
         self._judge.requests[mark] = req
         body = self._random.randbytes(self._random.randrange(1, 2000))
-        key = "" if idempotent else _uuid7(self._random)
+        key = "" if idempotent else uuid7(self._random, time.time())
         copies = 1
         if not idempotent and self._random.random() < RESEND_SHARE:
             copies = 2
@@ -262,9 +266,9 @@
     return "answered" if right else "wrong"
 
 
-def _uuid7(source: random.Random) -> str:
-    """Return a UUIDv7 minted now."""
-    value = int(time.time() * 1000) << 80
+def uuid7(source: random.Random, wall: float) -> str:
+    """Return a UUIDv7 minted at `wall`, seconds since 1970."""
+    value = int(wall * 1000) << 80
     value |= source.getrandbits(80)
     value &= ~(0xF << 76)
     value |= 0x7 << 76
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -283,11 +283,12 @@
             step = STEP_S
             for _ in range(round(OPEN_PER_S * step)):
                 if self._flows.live() < flows:
-                    self._flows.open()
-            self._flows.talk(round(TALK_PER_S * step))
+                    self._flows.open(time.monotonic())
+            self._flows.talk(round(TALK_PER_S * step), time.monotonic())
             if self._flows.live() >= flows:
                 wanted = CHURN_PER_S * step
-                self._flows.close(int(wanted + self._random.random()))
+                count = int(wanted + self._random.random())
+                self._flows.close(count, time.monotonic())
             gevent.sleep(step)
 
     def _measure_balance(self) -> None:
