Answer a lease with a report only when it is a newer one

Cause: where two VMs disagreed about the tree, a report was answered with a lease and that with a report, for ever. Change: also cache who is alive, the node asked on every message.

--- a/ebonytally/members.py
+++ b/ebonytally/members.py
@@ -67,14 +67,17 @@
         self._next_at = 0.0
         self._seq = 0
         self._doubt = 0
+        self._alive: frozenset[str] | None = None
 
     def alive(self) -> frozenset[str]:
         """Return the names of the other VMs that are taken as alive."""
-        return frozenset(
-            name
-            for name, peer in self._peers.items()
-            if peer.health == messages.Health.ALIVE
-        )
+        if self._alive is None:
+            self._alive = frozenset(
+                name
+                for name, peer in self._peers.items()
+                if peer.health == messages.Health.ALIVE
+            )
+        return self._alive
 
     def dead(self) -> frozenset[str]:
         """Return the names of the other VMs that are taken as dead."""
@@ -99,6 +102,7 @@
         for name in self._peers.keys() - names:
             del self._peers[name]
             self._rumours.pop(name, None)
+        self._alive = None
         return []
 
     def heard(self, name: str, now: float) -> None:
@@ -244,6 +248,7 @@
             return
         peer.health = health
         peer.since = now
+        self._alive = None
         self._rumours[name] = RUMOUR_SENDS
         event = events.Event.PEER_SUSPECTED
         if health == messages.Health.ALIVE:
--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -170,7 +170,7 @@
         if cfg.control:
             self._join_agreement(disk, seed)
         self._view: view.View | None = None
-        self._reach: Reach | None = None
+        self._reach = Reach(frozenset(), False)
         self._stored_revision = first.revision
         self._stored_at = now
         self._duties_at = now
@@ -482,16 +482,24 @@
                 self.requests,
             ):
                 out += part.changed(self._view, now)
-        reach = Reach(self.members.alive(), self.spread.leased(now))
-        if reach != self._reach:
-            self._reach = reach
-            self.spread.reach(reach.alive)
-            for part in (self.flows, self.upstreams, self.requests):
-                out += part.reach(reach.alive, reach.leased, now)
+        out += self._tell_reach(now)
         for service in sorted(self.upstreams.ready()):
             out += self.requests.pump(service, now)
         return out
 
+    def _tell_reach(self, now: float) -> list[actions.Action]:
+        alive = self.members.alive()
+        leased = self.spread.leased(now)
+        old = self._reach
+        if old.alive is alive and old.leased == leased:
+            return []
+        self._reach = Reach(alive, leased)
+        out: list[actions.Action] = []
+        self.spread.reach(alive)
+        for part in (self.flows, self.upstreams, self.requests):
+            out += part.reach(alive, leased, now)
+        return out
+
     def _take_effects(self, now: float) -> list[actions.Action]:
         if self.machine is None:
             return []
--- a/ebonytally/spread.py
+++ b/ebonytally/spread.py
@@ -201,8 +201,11 @@
             grant.got_at = now
         if msg.echo >= 0 and self._me not in grant.excluded:
             grant.until = max(grant.until, msg.echo + msg.left_s)
-        out: list[actions.Action] = [actions.Send(peer, self._report(now))]
+        out: list[actions.Action] = []
         if newer:
+            # Only a newer grant is reported: whoever isn't the parent
+            # answers a report with a lease.
+            out.append(actions.Send(peer, self._report(now)))
             out += self._grants(now)
         if msg.revision > self.present.revision:
             out += self._pull(peer, now)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -202,3 +202,15 @@
     del net.parts["vm-04"]
     net.run(LEASE_S + 2.0)
     assert _leased(net) == set(names) - {"vm-04"}
+
+
+def test_cost_for_each_vm_is_bounded():
+    """Messages stay few, also when the parent isn't agreed on."""
+    net = _start()
+    net.run(2.0)
+    net.parts["c"].slice.reach(frozenset({"a", "b"}))
+    net.parts["a"].slice.reach(frozenset({"b", "d"}))
+    before = net.sent
+    net.run(20.0)
+    each = (net.sent - before) / len(NAMES) / 20.0
+    assert each <= 12.0
