Propose pins together, judge not-run by the order of events, count key bytes

The judge took a run of a second copy, begun after a true not-run, for a lie; it now compares with what had run when the answer came, and counts any run after it unless another copy was still in hand.

--- a/ebonytally/daemon.py
+++ b/ebonytally/daemon.py
@@ -61,7 +61,6 @@
         disk = disk_threads.ThreadedDisk(files)
         incarnation = nodes.next_incarnation(disk, self._clock.wall())
         control = control_task.ControlTask(self._control)
-        stack.callback(control.greenlet.kill)
         self._node = nodes.Node(
             cfg,
             disk,
@@ -72,6 +71,7 @@
             control,
         )
         self._open(stack)
+        stack.callback(control.greenlet.kill)
         self._recorder.event(
             events.Event.STARTED,
             incarnation=incarnation,
--- a/ebonytally/flow_pins.py
+++ b/ebonytally/flow_pins.py
@@ -20,6 +20,7 @@
 from ebonytally import view
 
 INTERVAL_S = 1.0
+PROPOSE_EVERY_S = 5.0
 
 
 @attrs.define
@@ -31,7 +32,9 @@
     promises: flow_promises.Promises
     handover: flow_handover.Handover
     _next: float = 0.0
+    _propose_at: float = 0.0
     _proposals: int = 0
+    _agreed: dict[tuple[str, int], set[int]] = attrs.field(factory=dict)
 
     def tick(
         self,
@@ -48,6 +51,25 @@
         for route in routes.values():
             if route.kept:
                 found += self._look(route, now)
+        return found + self._proposed(routes, now)
+
+    def _proposed(
+        self,
+        routes: Mapping[int, flow_routes.Route],
+        now: float,
+    ) -> list[actions.Action]:
+        """Propose what was agreed, together: each proposal costs bytes."""
+        if now < self._propose_at:
+            return []
+        self._propose_at = now + PROPOSE_EVERY_S
+        found = []
+        for route in routes.values():
+            for base in sorted(route.targets):
+                key = (route.service.name, base)
+                slots = self._agreed.pop(key, set()) & route.kept.keys()
+                if slots:
+                    found.append(self._propose(route, base, sorted(slots)))
+        self._agreed.clear()
         return found
 
     def _look(
@@ -56,14 +78,13 @@
         now: float,
     ) -> list[actions.Action]:
         asks = collections.defaultdict(list)
-        agreed = collections.defaultdict(list)
         for slot, state in route.kept.items():
             group = route.group(slot)
             if self.site.keepers.first[group] != self.site.me:
                 continue
             base = self.promises.base(route.service.name, state)
             if base in route.targets:
-                agreed[base].append(slot)
+                self._note(route, base, [slot])
                 continue
             base = self._only(route, state, now)
             if base is None:
@@ -73,14 +94,20 @@
                 asks[second, base].append((slot, state.since))
             else:
                 self._promise(route, state, base)
-                agreed[base].append(slot)
-        found = [
+                self._note(route, base, [slot])
+        return [
             self._ask(route, second, base, pairs)
             for (second, base), pairs in asks.items()
         ]
-        for base, slots in agreed.items():
-            found.append(self._propose(route, base, slots))
-        return found
+
+    def _note(
+        self,
+        route: flow_routes.Route,
+        base: int,
+        slots: list[int],
+    ) -> None:
+        key = (route.service.name, base)
+        self._agreed.setdefault(key, set()).update(slots)
 
     def _only(
         self,
@@ -160,9 +187,8 @@
             if self._only_at(route, slot, msg.base):
                 self._promise(route, state, msg.base)
                 slots.append(slot)
-        if not slots:
-            return []
-        return [self._propose(route, msg.base, slots)]
+        self._note(route, msg.base, slots)
+        return []
 
     def _only_at(
         self,
--- a/ebonytally/peers.py
+++ b/ebonytally/peers.py
@@ -1,7 +1,8 @@
 """Carries messages between entry VMs: datagrams and gRPC.
 
 Packets in hand and small frequent messages go as datagrams; the replicated
-log, keys and everything large go by gRPC.
+log and everything large go by gRPC. Bytes are counted by what causes them:
+control, packets in hand and keeping flows, keys of requests.
 """
 
 from collections.abc import Callable
@@ -76,12 +77,15 @@
         name = "control_bytes_sent"
         if kind in _FLOW_KINDS:
             name = "flow_bytes_sent"
+        if kind in _KEY_KINDS:
+            name = "key_bytes_sent"
         self._recorder.counted(name, size)
+        self._recorder.counted(f"{name}.{type(msg).__name__}", size)
 
     def _is_datagram(self, kind: int, size: int) -> bool:
         if kind in _FLOW_KINDS:
             return size <= wire.MAX_DATAGRAM_BYTES
-        if kind in _AGREEMENT_KINDS or kind in _KEY_KINDS:
+        if kind in _AGREEMENT_KINDS:
             return False
         return size <= SMALL_BYTES
 
--- a/standins/bad_input.py
+++ b/standins/bad_input.py
@@ -28,6 +28,14 @@
     return _sum(address, "ebonytally_refusals_total", label)
 
 
+def save_metrics(deployment: deployments.Deployment) -> None:
+    """Write each entry VM's metrics beside its log."""
+    for daemon in deployment.daemons:
+        text = _get(daemon.address, METRICS_PORT, "/metrics")
+        path = deployment.folder / f"{daemon.name}.metrics"
+        path.write_text(text, encoding="utf-8")
+
+
 def _sum(address: str, metric: str, label: str) -> float:
     text = _get(address, METRICS_PORT, "/metrics")
     return sum(
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -210,6 +210,7 @@
         entry: tuple[str, int],
     ) -> None:
         self.in_hand += 1
+        req.in_hand += 1
         gevent.sleep(self._delay_s)
         try:
             outcome = self._exchange(service, req, key, body, entry)
@@ -217,7 +218,7 @@
             outcome = "cut"
         finally:
             self.in_hand -= 1
-        req.outcomes.append(outcome)
+        req.ended(outcome)
 
     def _exchange(
         self,
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -246,6 +246,8 @@
         self._control_bytes = max(
             (after[name] - before[name]) / spent for name in after
         )
+        if self._args.keep:
+            bad_input.save_metrics(self._deployment)
         self._requests.stopping = True
         while self._requests.in_hand:
             gevent.sleep(0.05)
--- a/standins/judge.py
+++ b/standins/judge.py
@@ -45,13 +45,30 @@
 class Request:
     """One caller's request as the judge knows it.
 
-    :param outcome: of each copy that the caller sent
+    :param outcomes: of the copies that were answered
+    :param in_hand: copies that aren't answered yet
+    :param false_not_run: it ran although the caller was told otherwise
     """
 
     mark: str
     idempotent: bool
     outcomes: list[str] = attrs.field(factory=list)
+    in_hand: int = 0
     runs: int = 0
+    false_not_run: bool = False
+
+    def ran(self) -> None:
+        """Note a run; after "not run" it takes another copy to run it."""
+        self.runs += 1
+        if "not-run" in self.outcomes and not self.in_hand:
+            self.false_not_run = True
+
+    def ended(self, outcome: str) -> None:
+        """Note the answer to a copy; "not run" must be true by then."""
+        self.in_hand -= 1
+        self.outcomes.append(outcome)
+        if outcome == "not-run" and self.runs:
+            self.false_not_run = True
 
 
 @attrs.frozen
@@ -124,7 +141,7 @@
         self._into(report.upstream, now)
         req = self.requests.get(report.request)
         if req is not None:
-            req.runs += 1
+            req.ran()
 
     def _into(self, upstream: str, now: float) -> None:
         if not self.back:
@@ -205,7 +222,7 @@
             ),
             wrong_answers=outcomes["wrong"],
             false_not_run=sum(
-                "not-run" in req.outcomes and req.runs > 0
+                req.false_not_run
                 for req in self.requests.values()
                 if not req.idempotent
             ),
