Renew a lease only for a VM that has the revision, wire voter changes

The specification of the lease shows that "out" isn't in force after the lease time when a VM that lacks the revision has its lease renewed: it goes on sending into the data centre that is out. A VM now takes a lease only if it has applied the grantor's revision. The node tells agreement which control VMs there should be, so that added and retired ones get and lose their vote, and hands leadership over in a planned stop.

--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -281,6 +281,9 @@
         self._stopping = True
         out = self.flows.stop(now)
         out += self.requests.stop(now)
+        if self.agreement is not None:
+            transfer = functools.partial(self.agreement.transfer, now)
+            out += self._control.run(transfer)
         return self._settle(out, now)
 
     def idle(self) -> bool:
@@ -331,6 +334,8 @@
         self._duties_at = now + DUTIES_EVERY_S
         due: list[object] = []
         if self.agreement is not None and self.agreement.may_read(now):
+            control = [vm.name for vm in self.machine.view.vms if vm.control]
+            self.agreement.want_voters(tuple(control))
             due += leader_duties.due(
                 self.cfg,
                 self.machine.view,
--- a/ebonytally/spread.py
+++ b/ebonytally/spread.py
@@ -201,7 +201,10 @@
             grant.excluded = msg.excluded
             grant.parent = peer
             grant.got_at = now
-        if msg.echo >= 0 and self._me not in grant.excluded:
+        # A lease vouches for the grantor's revision: without it, this VM
+        # might go on sending into a data centre that is out.
+        current = msg.revision <= self.present.revision
+        if current and msg.echo >= 0 and self._me not in grant.excluded:
             grant.until = max(grant.until, msg.echo + msg.left_s)
         out: list[actions.Action] = []
         if newer:
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -8,6 +8,7 @@
 from ebonytally import spread_messages
 from ebonytally import spread_tree
 from ebonytally import view
+from ebonytally import wire
 from tests import virtual_net
 
 LEASE_S = 1.5
@@ -73,6 +74,18 @@
     }
 
 
+def test_lease_isnt_taken_without_the_grantors_revision():
+    net = _start()
+    slice_ = net.parts["b"].slice
+    lease = spread_messages.Lease(1, "a", 1, LEASE_S, 0.0, 1)
+    slice_.handle("a", lease, 0.1)
+    assert not slice_.leased(0.1)
+    command = wire.pack_message(commands.DataCentreOut("dc-3"))
+    slice_.handle("a", spread_messages.Entries(1, (command,)), 0.2)
+    slice_.handle("a", lease, 0.3)
+    assert slice_.leased(0.3)
+
+
 def test_everyone_gets_a_lease_and_each_revision():
     net = _start()
     net.run(1.0)
