--- a/ebonytally/requests.py
+++ b/ebonytally/requests.py
@@ -126,7 +126,8 @@
         times = self._queue(live.head.service).times
         if times.longest_s >= self._cfg.silent_s:
             return False
-        return self._budget.left and now + times.mean_s <= live.head.deadline
+        left_s = live.head.deadline - now
+        return self._budget.left and times.usual_s(now) <= left_s
 
     def holds(self, req: int) -> bool:
         """Tell whether a request will still be answered."""
@@ -389,8 +390,8 @@
         known = self._upstreams.get(live.head.service, frozenset())
         if live.gone or known <= live.tried:
             return False
-        mean_s = self._queue(live.head.service).times.mean_s
-        if now + mean_s > live.head.deadline:
+        times = self._queue(live.head.service).times
+        if now + times.usual_s(now) > live.head.deadline:
             return False
         if self._budget.spend():
             return True
