--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -208,6 +208,13 @@
         self.broken += place.faults(self.under_way(got.id), self.now)
         return one
 
+    def idle(self) -> None:
+        """End all attempts; nobody waits any more."""
+        for one in list(self.running):
+            self.finish(one, K.ANSWERED)
+        for name, slice_ in self.slices.items():
+            self.do(name, slice_.want("desk", 0, self.now))
+
     def finish(self, one: Attempt, kind: ports.AttemptKind) -> None:
         """End an attempt."""
         self.running.remove(one)
@@ -227,6 +234,7 @@
             request_port=8000,
             data_centre=home,
             incarnation=changes.pop("incarnation", 1),
+            state=announce.State(changes.pop("state", "up")),
             **changes,
         )
         verdicts = []
