--- a/tests/test_upstream_lending.py
+++ b/tests/test_upstream_lending.py
@@ -1,5 +1,7 @@
 """State machine: slots are never lent twice, cold upstreams spared."""
 
+import copy
+import functools
 import os
 import random
 
@@ -16,24 +18,27 @@
 K = ports.AttemptKind
 
 
+@functools.cache
+def begun(warm):
+    """Return a cluster with three upstreams, cold or warm."""
+    cluster = fakes.Cluster()
+    for number, home in ((1, "dc-1"), (2, "dc-2"), (3, "dc-2")):
+        cluster.say(f"10.1.0.{number}", home)
+    cluster.commit_all()
+    cluster.settle()
+    if warm:
+        cluster.work(8.0)
+        cluster.net.clear()
+    return cluster
+
+
 class Lending(stateful.RuleBasedStateMachine):
     """Five entry VMs, three upstreams, and a network that misbehaves."""
 
-    def __init__(self):
-        """Let the upstreams announce themselves."""
-        super().__init__()
-        self.all = fakes.Cluster()
-        for number, home in ((1, "dc-1"), (2, "dc-2"), (3, "dc-2")):
-            self.all.say(f"10.1.0.{number}", home)
-        self.all.commit_all()
-        self.all.settle()
-
     @stateful.initialize(warm=st.booleans())
     def begin(self, warm):
         """Start cold or warm."""
-        if warm:
-            self.all.work(8.0)
-            self.all.net.clear()
+        self.all = copy.deepcopy(begun(warm))
 
     def _keep_announcing(self):
         for number, home in ((1, "dc-1"), (2, "dc-2"), (3, "dc-2")):
@@ -150,7 +155,7 @@
 
 TestLending = Lending.TestCase
 TestLending.settings = hypothesis.settings(
-    max_examples=SEEDS or 15,
+    max_examples=SEEDS or 25,
     stateful_step_count=30,
     deadline=None,
     derandomize=not SEEDS,
