--- a/ebonytally/slot_broker.py
+++ b/ebonytally/slot_broker.py
@@ -280,6 +280,8 @@
                 self._forget(name, peer, now)
         for endpoint in self.endpoints.values():
             self._settle(endpoint, now)
+            if not endpoint.upstream.request_port:
+                endpoint.warm.aged(now)
 
     def _lost(self, peer: _Peer, now: float) -> bool:
         """Whether a holder isn't heard and can't start attempts."""
--- a/ebonytally/warmup.py
+++ b/ebonytally/warmup.py
@@ -17,6 +17,7 @@
 TOOK_DECAY = 0.8
 RESTORE_OKS = 5
 SAME_START_S = 0.5
+FLOWS_WARM_S = 30.0
 SLOW_RUN = 3
 STEPS = (100, 250, 500, FULL)
 
@@ -39,6 +40,7 @@
         self._slots = slots
         self._done = 0.0
         self._rests: list[float] = []
+        self._aged: float | None = None
         self._restore: float | None = None
         self._restore_oks = 0
         self._same_start = False
@@ -106,6 +108,14 @@
             self._done = max(self._done, self._restore)
             self._restore = None
 
+    def aged(self, now: float) -> None:
+        """Let an upstream that takes flows alone grow warm with time."""
+        since = now if self._aged is None else self._aged
+        self._aged = now
+        part = max(0.0, now - since) / FLOWS_WARM_S
+        warm = self._cfg.warm_requests
+        self._done = min(self._done + part * warm, warm)
+
     def announced(self, at: float) -> None:
         """Note that the incarnation in the view announced itself.
 
--- a/tests/test_upstream_care.py
+++ b/tests/test_upstream_care.py
@@ -155,6 +155,18 @@
     assert warm.share == 104
 
 
+def test_one_for_flows_alone_grows_warm_with_time():
+    cluster = fakes.Cluster()
+    cluster.say("10.1.0.1", "dc-1", request_port=0)
+    cluster.commit_all()
+    for _ in range(64):
+        cluster.pass_time(0.5)
+        cluster.say("10.1.0.1", "dc-1", request_port=0)
+        cluster.commit_all()
+    (one,) = cluster.view.upstreams
+    assert one.share == 1000
+
+
 def test_draining_gets_nothing_new_and_finishes(warm):
     warm.work(0.5)
     (one, *_) = [run for run in warm.running if run.upstream == 2]
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -2,11 +2,15 @@
 
 import json
 
+import gevent
+from gevent import pywsgi
 import geventhttpclient
 import pytest
 
 from ebonytally import announce_http
+from ebonytally import health_http
 from ebonytally import upstream_announce
+from ebonytally import view
 from tests import test_upstream_announce as said
 
 
@@ -63,3 +67,52 @@
         "announcement_malformed": 2,
         "announcement_wrong_data_centre": 1,
     }
+
+
+@pytest.fixture
+def pages():
+    """Yield (port, settable answers) of an upstream's health page."""
+    answers = {"status": "200 OK", "sleep_s": 0.0}
+
+    def page(environ, start_response):
+        gevent.sleep(answers["sleep_s"])
+        start_response(answers["status"], [("Content-Length", "0")])
+        return [b""]
+
+    server = pywsgi.WSGIServer(("127.0.0.1", 0), page, log=None)
+    server.start()
+    yield server.server_port, answers
+    server.stop(timeout=0.1)
+
+
+def test_health_pages_bad_late_and_missing(pages, monkeypatch):
+    port, answers = pages
+    monkeypatch.setattr(health_http, "TIMEOUT_S", 0.1)
+    assert health_http.healthy("127.0.0.1", port)
+    answers["status"] = "503 Service Unavailable"
+    assert not health_http.healthy("127.0.0.1", port)
+    answers.update(status="200 OK", sleep_s=0.3)
+    assert not health_http.healthy("127.0.0.1", port)
+    assert not health_http.healthy("127.0.0.1", 1)
+
+
+def test_poller_asks_its_own_data_centre_only(pages):
+    port, answers = pages
+    answers["status"] = "500 Internal Server Error"
+    known = tuple(
+        view.Upstream(
+            number, "desk", "127.0.0.1", number, port, centre, 2, 2000, 1
+        )
+        for number, centre in ((1, "dc-1"), (2, "dc-2"), (3, "dc-1"))
+    )
+    seen = []
+
+    class Slice:
+        def page(self, upstream, ok, now):
+            seen.append((upstream, ok, now))
+
+    poller = health_http.HealthPoller(
+        Slice(), lambda: view.View(upstreams=known), "dc-1", _Clock()
+    )
+    poller.ask_all()
+    assert sorted(seen) == [(1, False, 5.0), (3, False, 5.0)]
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -231,7 +231,7 @@
             service="desk",
             address=address,
             port=7000,
-            request_port=8000,
+            request_port=changes.pop("request_port", 8000),
             data_centre=home,
             incarnation=changes.pop("incarnation", 1),
             state=announce.State(changes.pop("state", "up")),
