Split the large modules of the operators' side, test the status

A fault of the program in the operators' API is an event and a 500 now instead of a traceback and a cut connection. Retiring the last entry VM of a data centre is warned of (seen on processes: the data centre vanished from the status without a word).

--- a/ebonytally/config.py
+++ b/ebonytally/config.py
@@ -10,8 +10,11 @@
 import attrs
 
 from ebonytally import commands
+from ebonytally import config_keepers
+from ebonytally import config_tables
 from ebonytally import flow_table
 from ebonytally import view
+from ebonytally import view_find
 
 _OPERATORS = (
     commands.ServiceSet,
@@ -34,9 +37,9 @@
         return attrs.evolve(old, revision=revision)
     epoch = old.keeper_epoch
     changes = old.keeper_changes
-    if _keepers(changed) != _keepers(old):
+    latest = config_keepers.changes(old, changed, revision)
+    if latest:
         epoch = revision
-        latest = _keeper_changes(old, changed, epoch)
         changes = (*changes, *latest)[-view.MAX_KEEPER_CHANGES :]
     config_revision = old.config_revision
     if isinstance(command, _OPERATORS):
@@ -50,43 +53,6 @@
     )
 
 
-def is_command(command: object) -> bool:
-    """Tell whether `command` is one that gives a revision."""
-    return type(command) in _changed.registry and type(command) is not object
-
-
-def _keepers(cfg: view.View) -> frozenset[tuple[str, str, int]]:
-    """Return the VMs that keep records now.
-
-    A restarted VM kept nothing, so its incarnation belongs to it.
-    """
-    return frozenset(
-        (vm.name, vm.address, vm.incarnation)
-        for vm in cfg.vms
-        if vm.state is view.VmState.UP
-    )
-
-
-def _keeper_changes(
-    old: view.View,
-    new: view.View,
-    epoch: int,
-) -> tuple[view.KeeperChange, ...]:
-    kept = _keepers(old)
-    keeps = _keepers(new)
-    names = {name for name, _, _ in kept ^ keeps}
-    return tuple(
-        view.KeeperChange(
-            epoch=epoch,
-            name=name,
-            data_centre=(vm_of(new, name) or vm_of(old, name)).data_centre,
-            kept=any(name == one[0] for one in kept),
-            keeps=any(name == one[0] for one in keeps),
-        )
-        for name in sorted(names)
-    )
-
-
 @functools.singledispatch
 def _changed(command: object, old: view.View) -> view.View:
     """Return `old` with the change, or `old` itself for none."""
@@ -103,14 +69,14 @@
 @_changed.register
 def _service_set(command: commands.ServiceSet, old: view.View) -> view.View:
     new = command.service
-    known = service_of(old, new.name)
+    known = view_find.service_of(old, new.name)
     if known is not None:
         new = attrs.evolve(new, slots=known.slots)
     if new == known or _address_taken(old, new):
         return old
     others = tuple(one for one in old.services if one.name != new.name)
     changed = attrs.evolve(old, services=_by_name((*others, new)))
-    return _replanned(changed, (new.name,))
+    return config_tables.replanned(changed, (new.name,))
 
 
 def _address_taken(old: view.View, new: view.Service) -> bool:
@@ -128,7 +94,7 @@
     old: view.View,
 ) -> view.View:
     name = command.name
-    if service_of(old, name) is None:
+    if view_find.service_of(old, name) is None:
         return old
     return attrs.evolve(
         old,
@@ -143,7 +109,7 @@
     if command.name in old.out:
         return old
     out = tuple(sorted((*old.out, command.name)))
-    return _replanned_all(attrs.evolve(old, out=out))
+    return config_tables.replanned_all(attrs.evolve(old, out=out))
 
 
 @_changed.register
@@ -151,7 +117,7 @@
     if command.name not in old.out:
         return old
     out = tuple(name for name in old.out if name != command.name)
-    return _replanned_all(attrs.evolve(old, out=out))
+    return config_tables.replanned_all(attrs.evolve(old, out=out))
 
 
 @_changed.register
@@ -175,7 +141,7 @@
 
 @_changed.register
 def _vm_marked(command: commands.VmMarked, old: view.View) -> view.View:
-    vm = vm_of(old, command.name)
+    vm = view_find.vm_of(old, command.name)
     if vm is None or command.incarnation < vm.incarnation:
         return old
     again_up = command.state is view.VmState.UP
@@ -201,9 +167,9 @@
     old: view.View,
 ) -> view.View:
     new = command.upstream
-    if service_of(old, new.service) is None:
+    if view_find.service_of(old, new.service) is None:
         return old
-    known = _same_place(old, new)
+    known = view_find.upstream_at(old, new)
     if known is None:
         return _with_new_upstream(old, new)
     if new.incarnation < known.incarnation:
@@ -220,14 +186,6 @@
     return _with_changed_upstream(old, known, updated)
 
 
-def _same_place(old: view.View, new: view.Upstream) -> view.Upstream | None:
-    place = (new.service, new.address, new.port)
-    for up in old.upstreams:
-        if (up.service, up.address, up.port) == place:
-            return up
-    return None
-
-
 def _with_new_upstream(old: view.View, new: view.Upstream) -> view.View:
     number = old.next_upstream_id
     changed = attrs.evolve(
@@ -235,7 +193,7 @@
         upstreams=(*old.upstreams, attrs.evolve(new, id=number)),
         next_upstream_id=number + 1,
     )
-    return _replanned(changed, (new.service,))
+    return config_tables.replanned(changed, (new.service,))
 
 
 def _without(old: view.View, gone: view.Upstream) -> view.View:
@@ -254,7 +212,7 @@
         old,
         upstreams=tuple(new if up is known else up for up in old.upstreams),
     )
-    return _replanned(changed, (new.service,))
+    return config_tables.replanned(changed, (new.service,))
 
 
 @_changed.register
@@ -262,7 +220,7 @@
     command: commands.UpstreamMarked,
     old: view.View,
 ) -> view.View:
-    known = _upstream_of(old, command.id, command.incarnation)
+    known = view_find.upstream_of(old, command.id, command.incarnation)
     if known is None:
         return old
     state = command.state
@@ -278,10 +236,10 @@
     command: commands.UpstreamGone,
     old: view.View,
 ) -> view.View:
-    known = _upstream_of(old, command.id, command.incarnation)
+    known = view_find.upstream_of(old, command.id, command.incarnation)
     if known is None:
         return old
-    return _replanned(_without(old, known), (known.service,))
+    return config_tables.replanned(_without(old, known), (known.service,))
 
 
 @_changed.register
@@ -289,7 +247,7 @@
     command: commands.SlotsPlacing,
     old: view.View,
 ) -> view.View:
-    table = table_of(old, command.service)
+    table = view_find.table_of(old, command.service)
     if table is None:
         return old
     new = flow_table.placing(
@@ -306,7 +264,7 @@
     command: commands.SlotsPinned,
     old: view.View,
 ) -> view.View:
-    table = table_of(old, command.service)
+    table = view_find.table_of(old, command.service)
     if table is None:
         return old
     new = flow_table.pinned(
@@ -330,61 +288,5 @@
     return attrs.evolve(old, tables=tables)
 
 
-def _replanned_all(cfg: view.View) -> view.View:
-    return _replanned(cfg, tuple(one.name for one in cfg.services))
-
-
-def _replanned(cfg: view.View, names: tuple[str, ...]) -> view.View:
-    """Return `cfg` with the tables of these services planned anew."""
-    tables = {table.service: table for table in cfg.tables}
-    for name in names:
-        service = service_of(cfg, name)
-        upstreams = tuple(up for up in cfg.upstreams if up.service == name)
-        tables[name] = flow_table.replan(
-            tables.get(name),
-            service,
-            upstreams,
-            cfg.out,
-            cfg.revision + 1,
-        )
-    ordered = tuple(tables[name] for name in sorted(tables))
-    return attrs.evolve(cfg, tables=ordered)
-
-
-def service_of(cfg: view.View, name: str) -> view.Service | None:
-    """Return the service of that name, None if there is none."""
-    for service in cfg.services:
-        if service.name == name:
-            return service
-    return None
-
-
-def vm_of(cfg: view.View, name: str) -> view.Vm | None:
-    """Return the VM of that name, None if there is none."""
-    for vm in cfg.vms:
-        if vm.name == name:
-            return vm
-    return None
-
-
-def table_of(cfg: view.View, service: str) -> view.Table | None:
-    """Return the slot table of a service, None if there is none."""
-    for table in cfg.tables:
-        if table.service == service:
-            return table
-    return None
-
-
-def _upstream_of(
-    cfg: view.View,
-    number: int,
-    incarnation: int,
-) -> view.Upstream | None:
-    for up in cfg.upstreams:
-        if up.id == number and up.incarnation == incarnation:
-            return up
-    return None
-
-
 def _by_name(items: tuple) -> tuple:
     return tuple(sorted(items, key=lambda one: one.name))
--- a/ebonytally/intent_http.py
+++ b/ebonytally/intent_http.py
@@ -3,7 +3,6 @@
 The routes and their answers are described in docs/OPERATING.md.
 """
 
-import contextlib
 import json
 import re
 from typing import Protocol
@@ -17,6 +16,7 @@
 from ebonytally import actions
 from ebonytally import errors
 from ebonytally import events
+from ebonytally import http_bounds
 from ebonytally import intent_json
 from ebonytally import intent_requests as requests
 from ebonytally import intents
@@ -26,11 +26,11 @@
 from ebonytally import recorder as recorders
 from ebonytally import settings
 from ebonytally import status
+from ebonytally import status_verdict
 from ebonytally import view
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_CONNECTIONS = 64
-CONNECTION_S = 20.0
 ANSWER_S = intents.TIMEOUT_S + 1.0
 STATUS_S = 2.0
 _PLAN = re.compile(r"/v1/plans/([0-9a-z-]{1,32})(/confirm|/discard)?")
@@ -43,6 +43,7 @@
     409: "409 Conflict",
     411: "411 Length Required",
     413: "413 Content Too Large",
+    500: "500 Internal Server Error",
     503: "503 Service Unavailable",
     504: "504 Gateway Timeout",
 }
@@ -80,21 +81,6 @@
     body: dict[str, object]
 
 
-class _Handler(pywsgi.WSGIHandler):
-    """Bounds the whole life of a connection."""
-
-    def handle(self) -> None:
-        """Serve the connection, for a while at most."""
-        with gevent.Timeout(CONNECTION_S, False):
-            super().handle()
-            return
-        with contextlib.suppress(OSError):
-            self.socket.close()
-
-    def log_request(self) -> None:
-        """Leave logging to the recorder."""
-
-
 class IntentServer:
     """Serves operators on this VM's operators' port."""
 
@@ -115,7 +101,7 @@
             self._serve,
             log=None,
             error_log=None,
-            handler_class=_Handler,
+            handler_class=http_bounds.BoundedHandler,
             spawn=gevent_pool.Pool(MAX_CONNECTIONS),
         )
 
@@ -142,7 +128,10 @@
             waiting.set(reply.answer)
 
     def _serve(self, environ: dict, start_response) -> list[bytes]:
-        response = self._respond(environ)
+        try:
+            response = self._respond(environ)
+        except Exception as exc:
+            response = self._failed(environ, exc)
         data = json.dumps(response.body).encode() + b"\n"
         headers = [
             ("Content-Type", "application/json"),
@@ -265,12 +254,14 @@
         plans = None
         if isinstance(found, messages.OpenPlans):
             plans = found.plans
-        made = status.make(self._port.view(), self._port.facts(), plans)
+        made = status_verdict.make(
+            self._port.view(), self._port.facts(), plans
+        )
         return _Response(200, {"ok": True, **attrs.asdict(made)})
 
     def _services(self) -> _Response:
         cfg = self._port.view()
-        made = status.make(cfg, self._port.facts(), None)
+        made = status_verdict.make(cfg, self._port.facts(), None)
         services = [
             {**intent_json.service_dict(one), "now": attrs.asdict(now)}
             for one, now in zip(cfg.services, made.services, strict=True)
@@ -278,6 +269,17 @@
         body = {"ok": True, "revision": cfg.revision, "services": services}
         return _Response(200, body)
 
+    def _failed(self, environ: dict, exc: Exception) -> _Response:
+        """Log a fault of the program and go on."""
+        self._recorder.event(
+            events.Event.TASK_FAILED,
+            step=f"answer {environ['PATH_INFO']:.100}",
+            peer=environ.get("REMOTE_ADDR", ""),
+            detail=repr(exc),
+        )
+        text = "This VM failed to answer; its log says why. Ask another."
+        return _Response(500, {"ok": False, "reason": "", "text": text})
+
     def _token_refused(self, environ: dict) -> _Response:
         reason = reasons.Refusal.OPERATOR_TOKEN
         self._recorder.refused(reason)
--- a/ebonytally/metrics_http.py
+++ b/ebonytally/metrics_http.py
@@ -1,27 +1,19 @@
 """Serves the metrics on the metrics port, to whoever asks."""
 
-import gevent
 from gevent import pool
 from gevent import pywsgi
 
+from ebonytally import http_bounds
 from ebonytally import metrics
 
 MAX_CONNECTIONS = 8
 CONNECTION_S = 5.0
 
 
-class _Handler(pywsgi.WSGIHandler):
-    """Bounds the whole life of a connection."""
+class _Handler(http_bounds.BoundedHandler):
+    """Serves one connection, for a short while."""
 
-    def handle(self) -> None:
-        """Serve the connection, for a while at most."""
-        with gevent.Timeout(CONNECTION_S, False):
-            super().handle()
-            return
-        self.socket.close()
-
-    def log_request(self) -> None:
-        """Leave it out of the log."""
+    connection_s = CONNECTION_S
 
 
 class MetricsServer:
--- a/ebonytally/plan_book.py
+++ b/ebonytally/plan_book.py
@@ -8,8 +8,10 @@
 import attrs
 from returns import result
 
+from ebonytally import plan_answers
 from ebonytally import plan_checks
 from ebonytally import plan_messages as messages
+from ebonytally import plan_refusals
 from ebonytally import plan_warnings
 from ebonytally import plans
 from ebonytally import reasons
@@ -19,34 +21,17 @@
 MAX_PLANS = 256
 MAX_PLANS_PER_OPERATOR = 32
 MAX_OPEN_PER_OPERATOR = 8
-MAX_ANSWERS = 512
-MAX_ANSWERS_PER_OPERATOR = 64
 _DIGEST_BYTES = 8
 _CHECK_DIGITS = 4
 
 
-@attrs.frozen
-class KeptAnswer:
-    """The first answer to something that an operator asked.
-
-    :param verb: what was asked; each has ids of its own
-    :param digest: of its content, to tell a resent one from another
-    """
-
-    operator: str
-    verb: str
-    id: str
-    digest: bytes
-    answer: messages.Answer
-
-
 @attrs.frozen
 class Saved:
     """The whole book, for snapshots."""
 
     next_number: int = 1
     plans: tuple[messages.Plan, ...] = ()
-    answers: tuple[KeptAnswer, ...] = ()
+    answers: tuple[plan_answers.KeptAnswer, ...] = ()
 
 
 @attrs.frozen
@@ -65,14 +50,14 @@
         saved = saved or Saved()
         self._next_number = saved.next_number
         self._plans = {plan.id: plan for plan in saved.plans}
-        self._answers = {_key(kept): kept for kept in saved.answers}
+        self._answers = plan_answers.PlanAnswers(saved.answers)
 
     def save(self) -> Saved:
         """Return the whole book."""
         return Saved(
             self._next_number,
             tuple(self._plans.values()),
-            tuple(self._answers.values()),
+            self._answers.save(),
         )
 
     def open_plans(
@@ -96,7 +81,7 @@
         """Return a plan as it stands at `wall`, seconds since 1970."""
         plan = self._plans.get(name)
         if plan is None:
-            return _unknown(name)
+            return plan_refusals.unknown(name)
         expired = wall > plan.expires_at
         if expired and plan.state is messages.PlanState.OPEN:
             plan = attrs.evolve(plan, state=messages.PlanState.EXPIRED)
@@ -107,15 +92,16 @@
         verb, content = _content(command)
         key = (command.operator, verb, command.id)
         digest = _digest(content)
-        kept = self._answers.get(key)
+        kept = self._answers.find(key)
         if kept is None:
             ruling = self._first(command, cfg)
-            self._keep(KeptAnswer(*key, digest, ruling.answer))
+            first = plan_answers.KeptAnswer(*key, digest, ruling.answer)
+            self._answers.keep(first)
             return ruling
         if kept.digest == digest:
             return Ruling(kept.answer)
         return Ruling(
-            _refused(
+            plan_refusals.refused(
                 reasons.Refusal.INTENT_ID_REUSED,
                 f"You used the id {command.id} for something else before; "
                 "take a new id.",
@@ -140,7 +126,7 @@
         others = self.open_plans(cfg, command.wall)
         made = plans.make(cfg, command.intent, command.facts, others)
         if not isinstance(made, result.Success):
-            return _refused(
+            return plan_refusals.refused(
                 reasons.Refusal.INTENT_NOT_POSSIBLE,
                 f"Not possible: {made.failure()}.",
             )
@@ -184,7 +170,7 @@
         if plan is None:
             return Ruling(answer)
         if plan.state is not messages.PlanState.OPEN:
-            return Ruling(_closed(plan))
+            return Ruling(plan_refusals.closed(plan))
         steps = plan_checks.commands_for(plan.intent, cfg)
         moved = self._moved(plan, command, cfg)
         if moved or not isinstance(steps, result.Success):
@@ -265,7 +251,7 @@
         if plan is None:
             return answer
         if plan.state is not messages.PlanState.OPEN:
-            return _closed(plan)
+            return plan_refusals.closed(plan)
         closed = attrs.evolve(
             plan,
             state=messages.PlanState.DISCARDED,
@@ -299,19 +285,6 @@
         while len(self._plans) > MAX_PLANS:
             del self._plans[next(iter(self._plans))]
 
-    def _keep(self, kept: KeptAnswer) -> None:
-        """Keep an answer; the oldest of the same operator go first."""
-        self._answers[_key(kept)] = kept
-        mine = [key for key in self._answers if key[0] == kept.operator]
-        for key in mine[:-MAX_ANSWERS_PER_OPERATOR]:
-            del self._answers[key]
-        while len(self._answers) > MAX_ANSWERS:
-            del self._answers[next(iter(self._answers))]
-
-
-def _key(kept: KeptAnswer) -> tuple[str, str, str]:
-    return (kept.operator, kept.verb, kept.id)
-
 
 def _content(command: object) -> tuple[str, object]:
     """Return what was asked, and what must be equal in a resent one."""
@@ -328,40 +301,3 @@
 def _digest(msg: object) -> bytes:
     packed = wire.pack_message(msg)
     return hashlib.blake2s(packed, digest_size=_DIGEST_BYTES).digest()
-
-
-def _refused(reason: reasons.Refusal, text: str) -> messages.Answer:
-    return messages.Answer(reason.value, text)
-
-
-def _unknown(name: str) -> messages.Answer:
-    return _refused(
-        reasons.Refusal.PLAN_UNKNOWN,
-        f"There is no plan {name}. Plans are forgotten after a while; "
-        "state the intent again.",
-    )
-
-
-def _closed(plan: messages.Plan) -> messages.Answer:
-    """Return why a plan that isn't open can't be confirmed."""
-    reason, text = {
-        messages.PlanState.CONFIRMED: (
-            reasons.Refusal.PLAN_ALREADY_CONFIRMED,
-            f"was confirmed by {plan.closed_by} before and is in force as "
-            f"revision {plan.revision}",
-        ),
-        messages.PlanState.DISCARDED: (
-            reasons.Refusal.PLAN_DISCARDED,
-            f"was discarded by {plan.closed_by or 'newer plans'}",
-        ),
-        messages.PlanState.EXPIRED: (
-            reasons.Refusal.PLAN_EXPIRED,
-            "has expired; state the intent again to get a fresh one",
-        ),
-        messages.PlanState.BASIS_MOVED: (
-            reasons.Refusal.PLAN_BASIS_MOVED,
-            "is void, because the configuration changed; state the intent "
-            "again to get a fresh one",
-        ),
-    }[plan.state]
-    return messages.Answer(reason.value, f"Plan {plan.id} {text}.", plan)
--- a/ebonytally/plan_capacity.py
+++ b/ebonytally/plan_capacity.py
@@ -2,9 +2,9 @@
 
 from collections import abc
 
-from ebonytally import config
 from ebonytally import plan_messages as messages
 from ebonytally import view
+from ebonytally import view_find
 
 UNKNOWN = -1
 
@@ -52,7 +52,7 @@
 
 def serving(cfg: view.View, name: str) -> tuple[str, ...]:
     """Return the data centres of a service that aren't out."""
-    service = config.service_of(cfg, name)
+    service = view_find.service_of(cfg, name)
     if service is None:
         return ()
     return tuple(one for one in service.data_centres if one not in cfg.out)
@@ -85,7 +85,7 @@
 def _connections(cfg: view.View, upstreams: list[view.Upstream]) -> int:
     if not upstreams:
         return 0
-    limit = config.service_of(cfg, upstreams[0].service).max_connections
+    limit = view_find.service_of(cfg, upstreams[0].service).max_connections
     return sum(min(up.connections, limit) for up in upstreams)
 
 
--- a/ebonytally/plan_checks.py
+++ b/ebonytally/plan_checks.py
@@ -8,10 +8,10 @@
 from returns import result
 
 from ebonytally import commands
-from ebonytally import config
 from ebonytally import plan_messages as messages
 from ebonytally import settings
 from ebonytally import view
+from ebonytally import view_find
 
 MAX_CONNECTIONS = 1_000_000
 MAX_QUEUE = 100_000
@@ -40,7 +40,7 @@
 @commands_for.register
 def _create(intent: messages.CreateService, cfg: view.View) -> Commands:
     new = intent.service
-    if config.service_of(cfg, new.name):
+    if view_find.service_of(cfg, new.name):
         return result.Failure(
             f"service {new.name} exists already; "
             "change it, or choose another name"
@@ -53,7 +53,7 @@
 
 @commands_for.register
 def _change(intent: messages.ChangeService, cfg: view.View) -> Commands:
-    old = config.service_of(cfg, intent.name)
+    old = view_find.service_of(cfg, intent.name)
     if old is None:
         return result.Failure(_unknown_service(intent.name, cfg))
     given = attrs.asdict(
@@ -71,7 +71,7 @@
 
 @commands_for.register
 def _remove(intent: messages.RemoveService, cfg: view.View) -> Commands:
-    if config.service_of(cfg, intent.name) is None:
+    if view_find.service_of(cfg, intent.name) is None:
         return result.Failure(_unknown_service(intent.name, cfg))
     return result.Success((commands.ServiceRemoved(intent.name),))
 
@@ -117,7 +117,7 @@
 
 @commands_for.register
 def _replace_vm(intent: messages.ReplaceVm, cfg: view.View) -> Commands:
-    old = config.vm_of(cfg, intent.name)
+    old = view_find.vm_of(cfg, intent.name)
     if old is None:
         return result.Failure(_unknown_vm(intent.name, cfg))
     if not _is_address(intent.address):
@@ -136,7 +136,7 @@
 
 @commands_for.register
 def _retire_vm(intent: messages.RetireVm, cfg: view.View) -> Commands:
-    vm = config.vm_of(cfg, intent.name)
+    vm = view_find.vm_of(cfg, intent.name)
     if vm is None:
         return result.Failure(_unknown_vm(intent.name, cfg))
     voters = sum(one.control for one in cfg.vms)
@@ -197,7 +197,7 @@
             return f"{key}: {value!r} is no name: a-z, 0-9 and -, 63 at most"
     if not _is_address(intent.address):
         return f"{intent.address!r} is no IPv4 address"
-    if config.vm_of(cfg, intent.name):
+    if view_find.vm_of(cfg, intent.name):
         return f"VM {intent.name} exists already; replace or retire it"
     for vm in cfg.vms:
         if vm.address == intent.address:
--- a/ebonytally/plan_messages.py
+++ b/ebonytally/plan_messages.py
@@ -132,6 +132,7 @@
     NO_UPSTREAM_LEFT = "no_upstream_left"
     CAPACITY_BELOW_LOAD = "capacity_below_load"
     ONE_DATA_CENTRE_LEFT = "one_data_centre_left"
+    NO_ENTRY_VM_LEFT = "no_entry_vm_left"
     CONTROL_MAJORITY = "control_majority"
     OTHER_PLAN_OPEN = "other_plan_open"
     VMS_NOT_HEARD = "vms_not_heard"
--- a/ebonytally/plan_warnings.py
+++ b/ebonytally/plan_warnings.py
@@ -25,6 +25,7 @@
     found = []
     for capacity in capacities:
         found += _service_warnings(capacity)
+    found += _entry_vm_warnings(before, after)
     found += _control_warnings(before, after, facts)
     found += _open_warnings(others)
     found += _silent_warnings(facts)
@@ -89,6 +90,19 @@
         )
 
 
+def _entry_vm_warnings(
+    before: view.View,
+    after: view.View,
+) -> typing.Iterator[messages.Warn]:
+    left = {vm.data_centre for vm in after.vms}
+    for name in sorted({vm.data_centre for vm in before.vms} - left):
+        yield messages.Warn(
+            messages.Caution.NO_ENTRY_VM_LEFT,
+            f"Data centre {name} has no entry VM afterwards: when it is cut "
+            "off, nobody serves it.",
+        )
+
+
 def _control_warnings(
     before: view.View,
     after: view.View,
--- a/ebonytally/plans.py
+++ b/ebonytally/plans.py
@@ -10,6 +10,7 @@
 from ebonytally import plan_messages as messages
 from ebonytally import plan_warnings
 from ebonytally import view
+from ebonytally import view_find
 
 _LISTED_VMS = 12
 _ENDING = (messages.TakeOut, messages.RemoveService)
@@ -124,7 +125,7 @@
     intent: messages.ChangeService,
     cfg: view.View,
 ) -> tuple[str, ...]:
-    old = config.service_of(cfg, intent.name)
+    old = view_find.service_of(cfg, intent.name)
     lines = []
     if intent.data_centres is not None:
         lines += _moved_data_centres(old, intent.data_centres)
@@ -215,7 +216,7 @@
     intent: messages.ReplaceVm,
     cfg: view.View,
 ) -> tuple[str, ...]:
-    old = config.vm_of(cfg, intent.name)
+    old = view_find.vm_of(cfg, intent.name)
     return (
         f"The machine at {intent.address} takes the place of {old.name} "
         f"(until now {old.address}).",
--- /dev/null
+++ b/ebonytally/view_find.py
@@ -0,0 +1,53 @@
+"""Finding things in a view."""
+
+from ebonytally import view
+
+
+def service_of(cfg: view.View, name: str) -> view.Service | None:
+    """Return the service of that name, None if there is none."""
+    for service in cfg.services:
+        if service.name == name:
+            return service
+    return None
+
+
+def vm_of(cfg: view.View, name: str) -> view.Vm | None:
+    """Return the VM of that name, None if there is none."""
+    for vm in cfg.vms:
+        if vm.name == name:
+            return vm
+    return None
+
+
+def table_of(cfg: view.View, service: str) -> view.Table | None:
+    """Return the slot table of a service, None if there is none."""
+    for table in cfg.tables:
+        if table.service == service:
+            return table
+    return None
+
+
+def upstream_of(
+    cfg: view.View,
+    number: int,
+    incarnation: int,
+) -> view.Upstream | None:
+    """Return the upstream of that id and incarnation, None for none."""
+    for up in cfg.upstreams:
+        if up.id == number and up.incarnation == incarnation:
+            return up
+    return None
+
+
+def upstream_at(old: view.View, new: view.Upstream) -> view.Upstream | None:
+    """Return the upstream that has the place of `new`, None for none."""
+    place = (new.service, new.address, new.port)
+    for up in old.upstreams:
+        if (up.service, up.address, up.port) == place:
+            return up
+    return None
+
+
+def down(cfg: view.View) -> tuple[str, ...]:
+    """Return the names of the VMs that don't take part in keeping."""
+    return tuple(vm.name for vm in cfg.vms if vm.state is not view.VmState.UP)
--- a/tests/test_intents_http.py
+++ b/tests/test_intents_http.py
@@ -184,6 +184,14 @@
     assert node.recorder.counts[reasons.Refusal.OUTCOME_NOT_HEARD.value] == 1
 
 
+def test_fault_of_the_program_is_logged_and_serving_goes_on(node):
+    node.facts = None
+    assert _call(node, "GET", "/v1/status")[0] == 500
+    assert node.recorder.events[-1][0].name == "TASK_FAILED"
+    del node.facts
+    assert _call(node, "GET", "/v1/status")[0] == 200
+
+
 def test_garbage_on_the_port_leaves_it_serving(node):
     with gevent_socket.create_connection(node.server.address) as sock:
         sock.sendall(b"\x16\x03\x01" + bytes(2000) + b"\r\n\r\n")
--- a/tests/test_intents_machine.py
+++ b/tests/test_intents_machine.py
@@ -310,6 +310,13 @@
     assert "control_majority" in _cautions(plan)
 
 
+def test_last_entry_vm_of_a_data_centre_is_shown_as_such():
+    plan = _stated(_ready(), messages.RetireVm("vm-4")).plan
+    assert _cautions(plan) == ["no_entry_vm_left"]
+    plan = _stated(_ready(), messages.RetireVm("vm-5")).plan
+    assert _cautions(plan) == []
+
+
 def test_memory_of_plans_and_answers_is_bounded():
     machine = _ready()
     sizes = []
--- /dev/null
+++ b/tests/test_status.py
@@ -0,0 +1,77 @@
+"""Tests of the status: ten lines, whatever has happened."""
+
+import attrs
+import pytest
+
+from ebonytally import commands
+from ebonytally import control_state
+from ebonytally import status
+from ebonytally import status_verdict
+from ebonytally import view
+from tests import intent_fakes as fakes
+
+_FACTS = status.NodeFacts("vm-1", "vm-2", True, 1_000_000.0)
+
+
+def _view(*steps: object) -> view.View:
+    machine = control_state.Machine()
+    machine.apply(commands.Genesis(fakes.vms()))
+    machine.apply(commands.ServiceSet(fakes.service()))
+    machine.apply(commands.UpstreamSeen(fakes.upstream(1, "north")))
+    for step in steps:
+        machine.apply(step)
+    return machine.view
+
+
+@pytest.mark.parametrize(
+    ("facts", "plans", "steps", "level", "word"),
+    [
+        ({}, (), (), "well", "nothing"),
+        (
+            {"silent": (status.SilentVm("vm-5", 12.0),)},
+            (),
+            (),
+            "care",
+            "vm-5 (for 12 s)",
+        ),
+        ({"leased": False}, None, (), "trouble", "CUT OFF"),
+        ({}, None, (), "trouble", "NOT possible"),
+        ({"storage_fault": "no space"}, (), (), "trouble", "no space"),
+        (
+            {},
+            (),
+            (commands.DataCentreOut("north"),),
+            "trouble",
+            "OUT: north",
+        ),
+        (
+            {},
+            (),
+            (commands.DataCentreOut("west"),),
+            "care",
+            "datacentre back west",
+        ),
+        ({}, (), (commands.UpstreamGone(1, 1),), "trouble", "NOT SERVED"),
+    ],
+)
+def test_status_says_what_is_wrong_in_ten_lines(
+    facts, plans, steps, level, word
+):
+    facts = attrs.evolve(_FACTS, **facts)
+    made = status_verdict.make(_view(*steps), facts, plans)
+    assert made.level == level
+    assert len(made.lines) == 10
+    assert word in "\n".join(made.lines)
+    assert bool(made.next_steps) == (level != "well")
+
+
+def test_lines_stay_short_with_hundreds_of_vms():
+    vms = tuple(
+        view.Vm(f"vm-{n}", f"10.0.{n // 250}.{n % 250}", f"dc-{n}", "w", n < 3)
+        for n in range(410)
+    )
+    cfg = attrs.evolve(_view(), vms=vms)
+    silent = tuple(status.SilentVm(vm.name, -1.0) for vm in vms)
+    facts = attrs.evolve(_FACTS, silent=silent)
+    made = status_verdict.make(cfg, facts, ())
+    assert all(len(line) < 200 for line in made.lines)
