Begin a generation for each recovered copy, write down agreement

After a recovery, entry VMs could hold newer revisions than the copy and take a later command for their next one; two copies recovered by mistake had the same generation and never noticed. A `Recovered` command now lifts revisions a million above the copy's, each copy gets a generation of its own, and a leader tells control VMs without a vote its generation.

`python -m modelcheck` prints the states for each bound.

--- a/ebonytally/agreement.py
+++ b/ebonytally/agreement.py
@@ -27,6 +27,7 @@
 from ebonytally import settings
 
 STORAGE_RETRY_S = 1.0
+TELL_GENERATION_S = 2.0
 
 
 class Agreement:
@@ -82,6 +83,7 @@
             self._replication,
         )
         self._disk_retry_at = 0.0
+        self._told_at = 0.0
 
     @property
     def leader(self) -> str:
@@ -209,6 +211,7 @@
         if self._election.tick(now):
             self._lead(now)
         if self._state.is_leader:
+            self._tell_generation(now)
             self._changes.tick(now)
             self._sender.tick(now)
             self._replication.tick(now)
@@ -259,6 +262,18 @@
             self._election.tell_generation(peer)
         return False
 
+    def _tell_generation(self, now: float) -> None:
+        """Tell control VMs that have no vote which voters count.
+
+        Only old voters of an earlier generation act on it.
+        """
+        if now - self._told_at < TELL_GENERATION_S:
+            return
+        self._told_at = now
+        state = self._state
+        for name in sorted({*state.genesis} - {state.me, *state.peers}):
+            self._election.tell_generation(name)
+
     def _supersede(self, generation: int) -> None:
         if self.superseded:
             return
--- a/ebonytally/commands.py
+++ b/ebonytally/commands.py
@@ -131,3 +131,16 @@
     slots: tuple[int, ...]
     base: int
     seen: int
+
+
+@wire.message(514)
+@attrs.frozen
+class Recovered:
+    """Go on far above any revision that a lost copy may have reached.
+
+    The first command after voters were formed anew from one copy:
+    entry VMs may have newer revisions than that copy, so they have to
+    take the whole view instead of applying commands to theirs.
+    """
+
+    generation: int
--- a/ebonytally/config.py
+++ b/ebonytally/config.py
@@ -16,6 +16,7 @@
 from ebonytally import view
 from ebonytally import view_find
 
+RECOVERY_REVISIONS = 1_000_000
 _OPERATORS = (
     commands.ServiceSet,
     commands.ServiceRemoved,
@@ -29,8 +30,13 @@
 def apply(old: view.View, command: object) -> view.View:
     """Return the View one revision after `old`.
 
+    After `commands.Recovered` it is `RECOVERY_REVISIONS` after.
+
     :raises TypeError: when `command` isn't one of `commands`
     """
+    if isinstance(command, commands.Recovered):
+        revision = old.revision + RECOVERY_REVISIONS
+        return attrs.evolve(old, revision=revision, config_revision=revision)
     revision = old.revision + 1
     changed = _changed(command, old)
     if changed is old:
@@ -59,6 +65,11 @@
     raise TypeError(f"{type(command).__name__} is no command")
 
 
+@_changed.register
+def _recovered(command: commands.Recovered, old: view.View) -> view.View:
+    return old
+
+
 @_changed.register
 def _genesis(command: commands.Genesis, old: view.View) -> view.View:
     if old.revision:
--- a/ebonytally/recovery.py
+++ b/ebonytally/recovery.py
@@ -12,6 +12,7 @@
 
 from ebonytally import agreement_messages as messages
 from ebonytally import agreement_state
+from ebonytally import commands
 from ebonytally import errors
 from ebonytally import events
 from ebonytally import log_storage
@@ -19,6 +20,7 @@
 from ebonytally import recorder as recorder_lib
 from ebonytally import wire
 
+GENERATION_STEP = 1000
 _ASIDE_PREFIX = "damaged-"
 
 
@@ -106,7 +108,9 @@
 
     For the loss of a majority of the control VMs. VMs of the old
     generation that come back take no part and say so, until they are
-    repaired. All entries of the copy stay.
+    repaired. All entries of the copy stay. Revisions go on far above
+    those of entry VMs that had applied more than this copy has; these
+    take the whole view instead.
 
     :raises StorageError: when the copy can't serve, or the disk refuses
     """
@@ -118,14 +122,20 @@
     if not copy.voters:
         detail = "the copy is empty, it never had a voter list"
         raise errors.StorageError("form voters anew", me, detail)
-    generation = copy.generation + 1
+    generation = _next_generation(copy)
     term = max(copy.term, copy.last_term) + 1
     vote = attrs.evolve(storage.vote, term=term, voted_for=me)
     storage.save_vote(vote)
     only = messages.Voter(me, copy.identity, True)
-    command = wire.pack_message(messages.VotersSet(generation, (only,)))
-    entry = messages.Entry(copy.last_index + 1, term, "", command)
-    storage.append((entry,))
+    first = (
+        messages.VotersSet(generation, (only,)),
+        commands.Recovered(generation),
+    )
+    entries = tuple(
+        messages.Entry(index, term, "", wire.pack_message(command))
+        for index, command in enumerate(first, copy.last_index + 1)
+    )
+    storage.append(entries)
     missing = _missing(copy)
     recorder.event(
         events.Event.VOTERS_FORMED_ANEW,
@@ -161,11 +171,22 @@
     )
 
 
+def _next_generation(copy: Copy) -> int:
+    """Return a number above the copy's, another one for each copy.
+
+    When two copies are recovered by mistake, the lower one finds out.
+    """
+    steps = copy.generation // GENERATION_STEP + 1
+    own = int(copy.identity, 16) % GENERATION_STEP
+    return steps * GENERATION_STEP + own
+
+
 def _missing(copy: Copy) -> tuple[str, ...]:
     lines = [
         f"changes accepted after entry {copy.last_index} of term "
         f"{copy.last_term} are not in this copy; a change whose answer an "
         "operator has but that is not shown now must be stated again",
+        "entry VMs that had applied such a change go back to this copy",
     ]
     open_entries = copy.last_index - copy.committed
     if open_entries:
--- /dev/null
+++ b/modelcheck/__main__.py
@@ -0,0 +1,43 @@
+"""Check all specifications: ``python -m modelcheck [--large]``."""
+
+import sys
+import time
+
+import minicheck
+
+from modelcheck import bounds
+from modelcheck import confirm_model
+from modelcheck import lease_model
+from modelcheck import log_model
+
+MAX_STATES = 1_000_000
+
+
+def main(argv: list[str]) -> int:
+    """Print states and verdict for each bound; 1 if any is unsafe."""
+    logs = bounds.LOG_SMALL
+    leases = bounds.LEASE_SMALL
+    if "--large" in argv:
+        logs += bounds.LOG_LARGE
+        leases += bounds.LEASE_LARGE
+    models = [(limit, log_model.LogModel(limit)) for limit in logs]
+    models += [(limit, lease_model.LeaseModel(limit)) for limit in leases]
+    models.append(("Confirm()", confirm_model.ConfirmModel()))
+    verdicts = [_check(limit, model) for limit, model in models]
+    return 0 if all(verdicts) else 1
+
+
+def _check(limit: object, model: object) -> bool:
+    began = time.perf_counter()
+    found = minicheck.check_safety(model.protocol(), max_states=MAX_STATES)
+    took = time.perf_counter() - began
+    holds = [verdict["holds"] for verdict in found["properties"].values()]
+    safe = found["exhaustive"] and all(holds)
+    states = found["reachable_states"]
+    word = "safe" if safe else "UNSAFE"
+    print(f"{states:8} states {took:6.1f} s  {word}  {limit}", flush=True)
+    return safe
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/modelcheck/bounds.py
@@ -0,0 +1,35 @@
+"""The bounds within which the specifications are checked."""
+
+from modelcheck import lease_model
+from modelcheck import log_state
+
+TWO = (0, 1)
+Log = log_state.Bounds
+Lease = lease_model.Bounds
+
+LOG_SMALL = (
+    Log(terms=3, entries=2, crashes=0, candidates=TWO),
+    Log(terms=2, entries=2, crashes=1, candidates=TWO),
+    Log(terms=2, entries=1, crashes=0, wipes=1, candidates=TWO),
+    Log(2, 2, 0, candidates=TWO, held=True, snapshots=True),
+)
+LOG_LARGE = (
+    Log(terms=2, entries=2, crashes=1),
+    Log(terms=2, entries=2, crashes=0, wipes=1, candidates=TWO),
+    Log(terms=4, entries=2, crashes=0, candidates=TWO),
+    Log(terms=2, entries=3, crashes=1, candidates=TWO),
+    Log(terms=2, entries=2, crashes=1, candidates=TWO, held=True),
+    Log(2, 3, 0, candidates=TWO, held=True, snapshots=True),
+    Log(2, 3, 1, candidates=TWO, held=True),
+    Log(3, 2, 0, wipes=1, candidates=TWO, snapshots=True),
+)
+LEASE_SMALL = (
+    Lease(ticks=2, out=True, exclude=False),
+    Lease(ticks=2, out=False, exclude=True),
+)
+LEASE_LARGE = (
+    Lease(ticks=3, out=True, exclude=False),
+    Lease(ticks=3, out=False, exclude=True),
+    Lease(ticks=4, out=False, exclude=True),
+    Lease(ticks=2, out=True, exclude=True),
+)
--- a/tests/agreement_fakes.py
+++ b/tests/agreement_fakes.py
@@ -6,6 +6,7 @@
 
 from ebonytally import actions
 from ebonytally import agreement
+from ebonytally import commands
 from ebonytally import errors
 from ebonytally import recorder
 from ebonytally import settings
@@ -102,6 +103,8 @@
         self.values: list[str] = []
 
     def apply(self, command):
+        if isinstance(command, commands.Recovered):
+            return None
         self.values.append(command.value)
         return len(self.values)
 
@@ -200,8 +203,9 @@
                 self.queue.append((due, self.rng.random(), act.peer, frame))
         node = self.nodes[name]
         if node.is_leader:
-            known = self.leaders.setdefault(node.term, name)
-            assert known == name, f"two leaders in term {node.term}"
+            term = (node.generation, node.term)
+            known = self.leaders.setdefault(term, name)
+            assert known == name, f"two leaders in term {term}"
 
     def step(self, dt=0.02):
         """Let time pass: deliver what is due, tick all."""
--- a/tests/test_agreement_voters.py
+++ b/tests/test_agreement_voters.py
@@ -2,10 +2,13 @@
 
 import pytest
 
+from ebonytally import commands
+from ebonytally import config
 from ebonytally import errors
 from ebonytally import events
 from ebonytally import recorder
 from ebonytally import recovery
+from ebonytally import view
 from tests import agreement_fakes as fakes
 
 NAMES = ("a", "b", "c")
@@ -136,7 +139,7 @@
         cluster.crash(name)
     rec = recorder.MemoryRecorder()
     formed = recovery.form_anew(cluster.disks["a"], "a", rec)
-    assert formed.generation == 2
+    assert formed.generation >= recovery.GENERATION_STEP
     assert any("b, c" in line for line in formed.missing)
     assert rec.events[-1][0] == events.Event.VOTERS_FORMED_ANEW
     for name in NAMES:
@@ -160,3 +163,26 @@
     cluster.run(2.0)
     wanted = [f"v{n}" for n in range(35)]
     assert all(m.values == wanted for m in cluster.machines.values())
+
+
+def test_two_copies_recovered_by_mistake_find_out():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 5)
+    rec = recorder.MemoryRecorder()
+    for name in NAMES:
+        cluster.crash(name)
+    for name in ("a", "b"):
+        recovery.form_anew(cluster.disks[name], name, rec)
+        cluster.start(name)
+    cluster.run(10.0)
+    superseded = [n.superseded for n in cluster.nodes.values()]
+    assert sorted(superseded) == [False, True]
+
+
+def test_after_a_recovery_no_revision_means_two_things():
+    copy = view.View(revision=100)
+    ahead = view.View(revision=105, out=("d1",))
+    formed = config.apply(copy, commands.Recovered(2))
+    following = config.apply(formed, commands.DataCentreOut("d2"))
+    assert following.revision > formed.revision > ahead.revision + 1000
+    assert formed.config_revision == formed.revision
--- a/tests/test_modelcheck_lease.py
+++ b/tests/test_modelcheck_lease.py
@@ -5,26 +5,18 @@
 import minicheck
 import pytest
 
+from modelcheck import bounds
 from modelcheck import lease_model
 
 SEEDS = int(os.environ.get("EBONYTALLY_SEEDS", "0"))
-OUT = lease_model.Bounds(ticks=3, out=True, exclude=False)
-EXCLUDE = lease_model.Bounds(ticks=3, out=False, exclude=True)
-SMALL = [
-    lease_model.Bounds(ticks=2, out=True, exclude=False),
-    lease_model.Bounds(ticks=2, out=False, exclude=True),
-]
-LARGE = [
-    OUT,
-    EXCLUDE,
-    lease_model.Bounds(ticks=4, out=False, exclude=True),
-    lease_model.Bounds(ticks=2, out=True, exclude=True),
-]
-
-
-@pytest.mark.parametrize("bounds", SMALL + LARGE * bool(SEEDS))
-def test_specification_is_safe(bounds):
-    model = lease_model.LeaseModel(bounds).protocol()
+OUT, EXCLUDE = bounds.LEASE_LARGE[:2]
+
+
+@pytest.mark.parametrize(
+    "limit", bounds.LEASE_SMALL + bounds.LEASE_LARGE * bool(SEEDS)
+)
+def test_specification_is_safe(limit):
+    model = lease_model.LeaseModel(limit).protocol()
     found = minicheck.check_safety(model, max_states=1_000_000)
     assert found["exhaustive"]
     for name, verdict in found["properties"].items():
@@ -33,10 +25,10 @@
 
 @pytest.mark.parametrize("mistake", lease_model.Mistake)
 def test_mistake_is_found(mistake):
-    bounds = OUT
+    limit = OUT
     if mistake is lease_model.Mistake.NO_LEASE_WAIT:
-        bounds = EXCLUDE
-    model = lease_model.LeaseModel(bounds, mistake).protocol()
+        limit = EXCLUDE
+    model = lease_model.LeaseModel(limit, mistake).protocol()
     found = minicheck.check_safety(model, max_states=8_000)
     verdicts = [v["holds"] for v in found["properties"].values()]
     assert False in verdicts
--- a/tests/test_modelcheck_log.py
+++ b/tests/test_modelcheck_log.py
@@ -6,31 +6,16 @@
 import minicheck
 import pytest
 
+from modelcheck import bounds
 from modelcheck import log_model
 from modelcheck import log_state
 from tests import log_replay
 
 SEEDS = int(os.environ.get("EBONYTALLY_SEEDS", "0"))
-TWO = (0, 1)
+TWO = bounds.TWO
 Bounds = log_state.Bounds
 Mistake = log_state.Mistake
 
-SMALL = [
-    Bounds(terms=3, entries=2, crashes=0, candidates=TWO),
-    Bounds(terms=2, entries=2, crashes=1, candidates=TWO),
-    Bounds(terms=2, entries=1, crashes=0, wipes=1, candidates=TWO),
-    Bounds(2, 2, 0, candidates=TWO, held=True, snapshots=True),
-]
-LARGE = [
-    Bounds(terms=2, entries=2, crashes=1),
-    Bounds(terms=2, entries=2, crashes=0, wipes=1, candidates=TWO),
-    Bounds(terms=4, entries=2, crashes=0, candidates=TWO),
-    Bounds(terms=2, entries=3, crashes=1, candidates=TWO),
-    Bounds(terms=2, entries=2, crashes=1, candidates=TWO, held=True),
-    Bounds(2, 3, 0, candidates=TWO, held=True, snapshots=True),
-    Bounds(2, 3, 1, candidates=TWO, held=True),
-    Bounds(3, 2, 0, wipes=1, candidates=TWO, snapshots=True),
-]
 FOUND_WITHIN = {
     Mistake.VOTE_NOT_SYNCED: Bounds(2, 2, 1, candidates=TWO),
     Mistake.APPEND_NOT_SYNCED: Bounds(2, 2, 1, candidates=TWO),
@@ -41,9 +26,11 @@
 }
 
 
-@pytest.mark.parametrize("bounds", SMALL + (LARGE if SEEDS else []))
-def test_specification_is_safe(bounds):
-    model = log_model.LogModel(bounds).protocol()
+@pytest.mark.parametrize(
+    "limit", bounds.LOG_SMALL + bounds.LOG_LARGE * bool(SEEDS)
+)
+def test_specification_is_safe(limit):
+    model = log_model.LogModel(limit).protocol()
     found = minicheck.check_safety(model, max_states=1_000_000)
     assert found["exhaustive"]
     for name, verdict in found["properties"].items():
@@ -52,8 +39,8 @@
 
 @pytest.mark.parametrize("mistake", Mistake)
 def test_mistake_is_found(mistake):
-    bounds = FOUND_WITHIN[mistake]
-    model = log_model.LogModel(bounds, mistake).protocol()
+    limit = FOUND_WITHIN[mistake]
+    model = log_model.LogModel(limit, mistake).protocol()
     found = minicheck.check_safety(model, max_states=15_000)
     verdicts = [v["holds"] for v in found["properties"].values()]
     assert False in verdicts
@@ -90,8 +77,8 @@
 
 @pytest.mark.parametrize("seed", range(40 + 60 * SEEDS))
 def test_code_takes_the_steps_of_the_specification(seed):
-    bounds = Bounds(5, 6, 3, wipes=1, held=True, snapshots=True)
-    model = log_model.LogModel(bounds)
+    limit = Bounds(5, 6, 3, wipes=1, held=True, snapshots=True)
+    model = log_model.LogModel(limit)
     replay = log_replay.Replay()
     done = []
     for label, state in _walk(model, random.Random(seed), 40):
