Split the lender: its data and its choice of moves stand alone

The choice of who gets and who gives a slot is a pure module now, the data of lender and holder have modules of their own. No behaviour moves.

--- a/ebonytally/slot_broker.py
+++ b/ebonytally/slot_broker.py
@@ -5,13 +5,11 @@
 and the longest attempt that they may have started have ended.
 """
 
-import math
-
-import attrs
-
 from ebonytally import settings
 from ebonytally import slot_ledger
+from ebonytally import slot_lent
 from ebonytally import slot_messages
+from ebonytally import slot_moves
 from ebonytally import upstream_choice
 from ebonytally import view
 from ebonytally import warmup
@@ -22,76 +20,6 @@
 NEED_FRESH_S = 1.5
 EXCLUDE_S = 1.0
 RETIRED_BOOTS = 8
-LONGEST_OF_USUAL = 10
-SHORTEST_HOLD_S = 0.5
-
-
-@attrs.define
-class _Peer:
-    """A holder as the lender knows it.
-
-    :param number: newest report of that boot
-    :param stamp_ms: stamp of that report, which an answer repeats
-    :param received: when that report came
-    :param lease_until: it may start attempts until then
-    :param hold_s: longest attempt that it may start
-    """
-
-    boot: int = 0
-    retired: list[int] = attrs.field(factory=list)
-    number: int = 0
-    stamp_ms: int = -1
-    received: float = float("-inf")
-    lease_until: float = float("-inf")
-    hold_s: float = 0.0
-    wants_hold_s: int = 0
-    revision: int = -1
-    sent: float = float("-inf")
-    due: bool = False
-    needs: dict[str, slot_messages.Need] = attrs.field(factory=dict)
-
-
-@attrs.define
-class _Endpoint:
-    """An upstream that this entry VM lends.
-
-    :param since: revision from which on it lends it
-    :param settled: every entry VM knows that this one lends it
-    :param fresh: nobody lent it before
-    :param leases_end: until then, VMs not heard may start attempts
-    :param entries: loans by holder
-    :param told: running totals last reported, by holder
-    :param excluded: holders that failed with it, until when
-    """
-
-    upstream: view.Upstream
-    warm: warmup.Warmup
-    since: int
-    settled: bool
-    fresh: bool
-    leases_end: float
-    retired: bool = False
-    recalled: float = float("-inf")
-    entries: dict[str, slot_ledger.Entry] = attrs.field(factory=dict)
-    told: dict[str, slot_messages.Use] = attrs.field(factory=dict)
-    excluded: dict[str, float] = attrs.field(factory=dict)
-
-    @property
-    def bound(self) -> int:
-        """Return the most attempts that holders may have under way."""
-        return sum(entry.bound for entry in self.entries.values())
-
-    @property
-    def longest_s(self) -> float:
-        """Return how long an attempt lasts at most, infinity if unknown.
-
-        A holder that is lost can't say when its attempts end; ten times
-        the usual time is taken as the end, if their deadline isn't before.
-        """
-        usual_ms = max((use.took_ms for use in self.told.values()), default=0)
-        if not usual_ms:
-            return math.inf
-        return max(SHORTEST_HOLD_S, LONGEST_OF_USUAL * usual_ms / 1000)
 
 
 class Broker:
@@ -107,8 +35,8 @@
         self._boot = boot
         self._serial = 0
         self._view = view.View()
-        self._peers: dict[str, _Peer] = {}
-        self.endpoints: dict[int, _Endpoint] = {}
+        self._peers: dict[str, slot_lent.Peer] = {}
+        self.endpoints: dict[int, slot_lent.Endpoint] = {}
         self._leased = True
         self._due = True
 
@@ -150,7 +78,7 @@
 
     def _begin(self, one: view.Upstream, fresh: bool, now: float) -> None:
         wait_s = self._cfg.limits.lease_s + self._cfg.upstreams.loan_s
-        self.endpoints[one.id] = _Endpoint(
+        self.endpoints[one.id] = slot_lent.Endpoint(
             upstream=one,
             warm=warmup.Warmup(self._cfg.upstreams, one.slots, one.share),
             since=self._view.revision,
@@ -182,7 +110,7 @@
     def report(self, peer: str, msg: slot_messages.Report, now: float) -> None:
         """Take a holder's report."""
         self._due = True
-        known = self._peers.setdefault(peer, _Peer())
+        known = self._peers.setdefault(peer, slot_lent.Peer())
         if msg.boot in known.retired:
             return
         if msg.boot != known.boot:
@@ -205,7 +133,7 @@
             if use is not None:
                 self._used(endpoint, peer, use, use.serial * same, now)
 
-    def _restarted(self, name: str, peer: _Peer, boot: int) -> None:
+    def _restarted(self, name: str, peer: slot_lent.Peer, boot: int) -> None:
         """Forget what the holder's former process had.
 
         Its connections ended with it, and its attempts with them.
@@ -221,7 +149,7 @@
 
     def _used(
         self,
-        endpoint: _Endpoint,
+        endpoint: slot_lent.Endpoint,
         peer: str,
         use: slot_messages.Use,
         serial: int,
@@ -243,7 +171,7 @@
 
     def _outcomes(
         self,
-        endpoint: _Endpoint,
+        endpoint: slot_lent.Endpoint,
         peer: str,
         old: slot_messages.Use,
         use: slot_messages.Use,
@@ -260,7 +188,7 @@
             endpoint.warm.failed(now)
             endpoint.excluded[peer] = now + EXCLUDE_S
 
-    def _settle(self, endpoint: _Endpoint, now: float) -> None:
+    def _settle(self, endpoint: slot_lent.Endpoint, now: float) -> None:
         """Note when every entry VM takes this one for the lender."""
         if endpoint.settled:
             return
@@ -283,12 +211,12 @@
             if not endpoint.upstream.request_port:
                 endpoint.warm.aged(now)
 
-    def _lost(self, peer: _Peer, now: float) -> bool:
+    def _lost(self, peer: slot_lent.Peer, now: float) -> bool:
         """Whether a holder isn't heard and can't start attempts."""
         silent = now - peer.received >= self._cfg.upstreams.loan_s
         return silent and now >= peer.lease_until
 
-    def _forget(self, name: str, peer: _Peer, now: float) -> None:
+    def _forget(self, name: str, peer: slot_lent.Peer, now: float) -> None:
         """Free the slots whose attempts must have ended by now."""
         for endpoint in self.endpoints.values():
             if name not in endpoint.entries:
@@ -310,21 +238,22 @@
             self._lend(endpoint, demand, now)
         return self._messages(now)
 
-    def _demand(self, now: float) -> dict[str, dict[str, list[float]]]:
-        """Return [waiting, busy, held] by service and holder."""
-        out: dict[str, dict[str, list[float]]] = {}
+    def _demand(self, now: float) -> dict[str, slot_moves.Holders]:
+        """Return how pressed the holders are, by service."""
+        out: dict[str, slot_moves.Holders] = {}
         for name, peer in self._peers.items():
             if now - peer.received > NEED_FRESH_S:
                 continue
             for need in peer.needs.values():
-                out.setdefault(need.service, {})[name] = [
+                pressed = slot_moves.Pressed(
                     need.waiting,
                     need.busy,
                     need.held,
-                ]
+                )
+                out.setdefault(need.service, {})[name] = pressed
         return out
 
-    def limit(self, endpoint: _Endpoint, now: float) -> int:
+    def limit(self, endpoint: slot_lent.Endpoint, now: float) -> int:
         """Return how many attempts all holders together may have."""
         one = endpoint.upstream
         if endpoint.retired or not endpoint.settled:
@@ -339,8 +268,8 @@
 
     def _lend(
         self,
-        endpoint: _Endpoint,
-        demand: dict[str, dict[str, list[float]]],
+        endpoint: slot_lent.Endpoint,
+        demand: dict[str, slot_moves.Holders],
         now: float,
     ) -> None:
         limit = self.limit(endpoint, now)
@@ -350,37 +279,32 @@
             self._recall_above(endpoint, limit)
             return
         while bound < limit:
-            name = self._neediest(endpoint, holders, now)
+            able = self._able(endpoint, holders, now)
+            name = slot_moves.neediest(able, endpoint.warm.limited)
             if not name:
                 return
             self._grant(endpoint, name)
-            holders[name][0] -= 1
-            holders[name][2] += 1
+            holders[name].gets()
             bound = endpoint.bound
         if not endpoint.warm.limited:
             self._rebalance(endpoint, holders, now)
 
-    def _neediest(
+    def _able(
         self,
-        endpoint: _Endpoint,
-        holders: dict[str, list[float]],
+        endpoint: slot_lent.Endpoint,
+        holders: slot_moves.Holders,
         now: float,
-    ) -> str:
-        best = ""
-        best_need = 0.0
-        for name, (waiting, busy, held) in sorted(holders.items()):
-            if not self._may_lend_to(endpoint, name, now):
-                continue
-            if waiting <= 0 and held > 0 and not endpoint.warm.limited:
-                continue
-            need = (max(waiting, 0.1) + busy) / (held + 1)
-            if need > best_need:
-                best, best_need = name, need
-        return best
+    ) -> slot_moves.Holders:
+        """Return the holders that a slot may be lent to."""
+        return {
+            name: pressed
+            for name, pressed in holders.items()
+            if self._may_lend_to(endpoint, name, now)
+        }
 
     def _may_lend_to(
         self,
-        endpoint: _Endpoint,
+        endpoint: slot_lent.Endpoint,
         name: str,
         now: float,
     ) -> bool:
@@ -392,7 +316,7 @@
         entry = endpoint.entries.get(name)
         return not (endpoint.warm.limited and entry and entry.unseen)
 
-    def _grant(self, endpoint: _Endpoint, name: str) -> None:
+    def _grant(self, endpoint: slot_lent.Endpoint, name: str) -> None:
         entry = endpoint.entries.setdefault(name, slot_ledger.Entry())
         starts = 1 if endpoint.warm.limited else slot_messages.UNLIMITED
         self._set(entry, name, max(entry.count, 0) + 1, starts)
@@ -408,7 +332,7 @@
         entry.lend(self._serial, count, starts)
         self._peers[name].due = True
 
-    def _recall_above(self, endpoint: _Endpoint, limit: int) -> None:
+    def _recall_above(self, endpoint: slot_lent.Endpoint, limit: int) -> None:
         """Recall loans until the newest ones stay within the limit."""
         entries = endpoint.entries
         total = sum(entry.count for entry in entries.values())
@@ -423,58 +347,38 @@
 
     def _rebalance(
         self,
-        endpoint: _Endpoint,
-        holders: dict[str, list[float]],
+        endpoint: slot_lent.Endpoint,
+        holders: slot_moves.Holders,
         now: float,
     ) -> None:
-        """Move a slot from the least pressed to the most pressed one."""
+        """Recall a slot from the least pressed for the most pressed."""
         if now - endpoint.recalled < RECALL_GAP_S:
             return
         if self._recalling(endpoint, now):
             return
-        gain = {
-            name: (waiting + busy) / (held + 1)
-            for name, (waiting, busy, held) in holders.items()
-            if waiting > 0 and self._may_lend_to(endpoint, name, now)
-        }
-        if not gain:
-            return
-        starving = max(sorted(gain), key=gain.__getitem__)
-        loss = {
-            name: self._loss(holders.get(name))
+        lent = frozenset(
+            name
             for name, entry in endpoint.entries.items()
-            if entry.count > 0 and name != starving
-            if not self._lost(self._peers[name], now)
-        }
-        if not loss:
-            return
-        giving = min(sorted(loss), key=loss.__getitem__)
-        if loss[giving] >= gain[starving]:
+            if entry.count > 0 and not self._lost(self._peers[name], now)
+        )
+        able = self._able(endpoint, holders, now)
+        move = slot_moves.best(able, holders, lent)
+        if move is None:
             return
         endpoint.recalled = now
-        entry = endpoint.entries[giving]
-        self._set(entry, giving, entry.count - 1, entry.starts)
-        if giving in holders:
-            holders[giving][2] = max(0, holders[giving][2] - 1)
-        holders[starving][0] -= 1
-        holders[starving][2] += 1
-
-    def _recalling(self, endpoint: _Endpoint, now: float) -> bool:
+        entry = endpoint.entries[move.giver]
+        self._set(entry, move.giver, entry.count - 1, entry.starts)
+        if move.giver in holders:
+            holders[move.giver].gives()
+        holders[move.taker].gets()
+
+    def _recalling(self, endpoint: slot_lent.Endpoint, now: float) -> bool:
         """Whether a slot is on its way back from a holder that is heard."""
         return any(
             entry.recalled and not self._lost(self._peers[name], now)
             for name, entry in endpoint.entries.items()
         )
 
-    def _loss(self, need: list[float] | None) -> float:
-        """Return how pressed a holder is with one slot less."""
-        if need is None:
-            return 0.0
-        waiting, busy, held = need
-        if busy < held and waiting <= 0:
-            return 0.0
-        return (waiting + busy) / max(held - 1, 0.5)
-
     def _messages(self, now: float) -> list[tuple[str, slot_messages.Loans]]:
         out = []
         answer_s = ANSWER_PART * self._cfg.upstreams.loan_s
@@ -499,7 +403,7 @@
 
     def _message(
         self,
-        peer: _Peer,
+        peer: slot_lent.Peer,
         loans: tuple[slot_messages.Loan, ...],
         now: float,
     ) -> slot_messages.Loans:
--- a/ebonytally/slot_holder.py
+++ b/ebonytally/slot_holder.py
@@ -7,9 +7,8 @@
 import heapq
 import math
 
-import attrs
-
 from ebonytally import settings
+from ebonytally import slot_held
 from ebonytally import slot_messages
 from ebonytally import upstream_choice
 from ebonytally import upstream_health
@@ -23,51 +22,6 @@
 ACTIVE_S = 1.0
 
 
-@attrs.define
-class _Loan:
-    """Slots of one upstream, as its lender lent them."""
-
-    serial: int = 0
-    count: int = 0
-    starts: int = slot_messages.UNLIMITED
-    used: float = 0.0
-
-
-@attrs.define
-class _Tally:
-    """What happened at one upstream, since the start."""
-
-    busy: int = 0
-    oks: int = 0
-    fails: int = 0
-    slows: int = 0
-    sheds: int = 0
-
-
-@attrs.define
-class _Lender:
-    """What this entry VM has from one lender."""
-
-    boot: int = 0
-    flipped_ms: int = -1
-    floor: int = 0
-    lease_until: float = float("-inf")
-    hold_s: int = 0
-    loans: dict[int, _Loan] = attrs.field(factory=dict)
-    number: int = 0
-    sent: float = float("-inf")
-    urgent: bool = True
-    told: dict[str, int] = attrs.field(factory=dict)
-
-
-@attrs.define
-class _Demand:
-    """The requests of one service at this entry VM."""
-
-    waiting: int = 0
-    last: float = float("-inf")
-
-
 class Holder:
     """Slots that this entry VM holds, over all lenders.
 
@@ -91,9 +45,9 @@
         self._services: dict[str, list[view.Upstream]] = {}
         self._peers: dict[str, frozenset[int]] = {}
         self._lender_of: dict[int, str] = {}
-        self._lenders: dict[str, _Lender] = {}
-        self._tallies: dict[int, _Tally] = {}
-        self._demands: dict[str, _Demand] = {}
+        self._lenders: dict[str, slot_held.Lender] = {}
+        self._tallies: dict[int, slot_held.Tally] = {}
+        self._demands: dict[str, slot_held.Demand] = {}
         self._leased = True
         self._renew_s = RENEW_PART * cfg.upstreams.loan_s
         self._late: list[tuple[float, int]] = []
@@ -129,7 +83,7 @@
         }
         self.ready |= set(self._services)
 
-    def _drop_former(self, name: str, lender: _Lender) -> None:
+    def _drop_former(self, name: str, lender: slot_held.Lender) -> None:
         """Drop loans of upstreams that the lender doesn't lend now.
 
         An old copy of such a loan must not count later, so its serial
@@ -144,14 +98,14 @@
         """Note whether the configuration lease holds."""
         self._leased = leased
 
-    def _lender(self, name: str) -> _Lender:
-        return self._lenders.setdefault(name, _Lender())
+    def _lender(self, name: str) -> slot_held.Lender:
+        return self._lenders.setdefault(name, slot_held.Lender())
 
-    def _tally(self, upstream: int) -> _Tally:
-        return self._tallies.setdefault(upstream, _Tally())
+    def _tally(self, upstream: int) -> slot_held.Tally:
+        return self._tallies.setdefault(upstream, slot_held.Tally())
 
-    def _demand(self, service: str) -> _Demand:
-        return self._demands.setdefault(service, _Demand())
+    def _demand(self, service: str) -> slot_held.Demand:
+        return self._demands.setdefault(service, slot_held.Demand())
 
     def lender_of(self, upstream: int) -> str:
         """Return the name of the upstream's lender, "" for none."""
@@ -295,7 +249,7 @@
         else:
             heapq.heappush(self._late, (until, upstream))
 
-    def _loan(self, upstream: int) -> _Loan | None:
+    def _loan(self, upstream: int) -> slot_held.Loan | None:
         lender = self._lenders.get(self._lender_of.get(upstream, ""))
         return lender.loans.get(upstream) if lender else None
 
@@ -338,13 +292,13 @@
     def _take_loan(
         self,
         peer: str,
-        lender: _Lender,
+        lender: slot_held.Lender,
         new: slot_messages.Loan,
         now: float,
     ) -> None:
         if self._lender_of.get(new.upstream) != peer:
             return
-        loan = lender.loans.setdefault(new.upstream, _Loan(used=now))
+        loan = lender.loans.setdefault(new.upstream, slot_held.Loan(used=now))
         if new.serial <= max(loan.serial, lender.floor):
             return
         if new.count > loan.count:
@@ -372,9 +326,9 @@
 
     def _return_idle(
         self,
-        lender: _Lender,
+        lender: slot_held.Lender,
         upstream: int,
-        loan: _Loan,
+        loan: slot_held.Loan,
         now: float,
     ) -> None:
         one = self._known.get(upstream)
@@ -419,7 +373,7 @@
     def _gap_s(
         self,
         name: str,
-        lender: _Lender,
+        lender: slot_held.Lender,
         services: set[str],
         now: float,
     ) -> float:
@@ -487,7 +441,7 @@
 
     def _need(
         self,
-        lender: _Lender,
+        lender: slot_held.Lender,
         service: str,
         now: float,
     ) -> slot_messages.Need:
@@ -506,7 +460,7 @@
     def _uses(
         self,
         name: str,
-        lender: _Lender,
+        lender: slot_held.Lender,
         now: float,
     ) -> tuple[slot_messages.Use, ...]:
         return tuple(
@@ -519,11 +473,11 @@
     def _use(
         self,
         upstream: int,
-        loan: _Loan | None,
+        loan: slot_held.Loan | None,
         now: float,
     ) -> slot_messages.Use:
         tally = self._tally(upstream)
-        loan = loan or _Loan()
+        loan = loan or slot_held.Loan()
         count = loan.count
         if loan.starts != slot_messages.UNLIMITED:
             count = min(count, tally.busy + loan.starts)
