--- a/tests/test_upstream_care.py
+++ b/tests/test_upstream_care.py
@@ -302,3 +302,58 @@
     mine = [run for run in warm.running if run.vm == "vm-5"]
     assert all(run.upstream != 1 for run in mine)
     assert starts(warm, now)[1] > 0
+
+
+def fill(cluster, name):
+    """Have one VM hold all slots of all upstreams."""
+    cluster.idle()
+    for _ in range(40):
+        cluster.take(name)
+        cluster.settle(2)
+        cluster.pass_time(0.02)
+    return [one for one in cluster.running if one.vm == name]
+
+
+def test_slots_of_a_lost_vm_wait_for_the_end_of_its_attempts(warm):
+    held = fill(warm, "vm-5")
+    assert len(held) == 6
+    for one in held:
+        one.began = float("inf")
+        one.deadline = warm.now + fakes.LOAN_S + 0.3
+    warm.cut = {"vm-5"}
+    now = warm.now
+    warm.work(fakes.LOAN_S + 0.2)
+    assert sum(starts(warm, now).values()) == 0
+    for one in held:
+        one.began = now
+    warm.work(2.0)
+    assert min(starts(warm, now).values()) > 0
+    assert warm.broken == []
+
+
+def test_late_reports_change_nothing(warm):
+    lender = warm.slices["vm-5"]._holder.lender_of(1)
+    kept = []
+    deliver = warm.deliver
+
+    def spy(index, keep=False):
+        sender, peer, msg = warm.net[index]
+        if (sender, peer) == ("vm-5", lender) and hasattr(msg, "uses"):
+            kept.append(msg)
+        deliver(index, keep)
+
+    warm.deliver = spy
+    fill(warm, "vm-5")
+    broker = warm.slices[lender]._broker
+    bound = broker.endpoints[1].entries["vm-5"].bound
+    for msg in reversed(kept[:-1]):
+        broker.report("vm-5", msg, warm.now)
+    assert broker.endpoints[1].entries["vm-5"].bound == bound == 2
+    old = kept[-1]
+    warm.stop("vm-5")
+    warm.start("vm-5")
+    warm.take("vm-5")
+    warm.settle(3)
+    boot = broker._peers["vm-5"].boot
+    broker.report("vm-5", old, warm.now)
+    assert broker._peers["vm-5"].boot == boot != old.boot
