--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -172,6 +172,7 @@
         self._view: view.View | None = None
         self._reach = Reach(frozenset(), False)
         self._stored_revision = first.revision
+        self._stored_config = first.config_revision
         self._stored_at = now
         self._duties_at = now
         self._proposed_at: dict[object, float] = {}
@@ -499,6 +500,9 @@
         self._take_effects()
         out: list[actions.Action] = []
         if self.present is not self._view:
+            if self.present.config_revision != self._stored_config:
+                self._store_now(now)
+            # The disk may have let other tasks run: take what is newest.
             self._view = self.present
             for part in (
                 self.members,
@@ -536,8 +540,12 @@
     def _store(self, now: float) -> None:
         if now - self._stored_at < STORE_EVERY_S:
             return
-        if self.present.revision == self._stored_revision:
-            return
+        if self.present.revision != self._stored_revision:
+            self._store_now(now)
+
+    def _store_now(self, now: float) -> None:
+        """Keep the view, so that a restart never reverts a change."""
         self._stored_at = now
         self._stored_revision = self.present.revision
+        self._stored_config = self.present.config_revision
         self._disk.replace(VIEW_FILE, self.spread.stored())
--- a/standins/judge.py
+++ b/standins/judge.py
@@ -181,6 +181,11 @@
         for flow in self.flows.values():
             if flow.given_up or flow.broken:
                 continue
+            if flow.reset:
+                # A refused new flow is none; a reset of one that had
+                # begun at an upstream that stands is a loss.
+                lost += bool(flow.first)
+                continue
             settled = [
                 seq
                 for seq, at in flow.last_sent_at.items()
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -227,3 +227,24 @@
     net.run(20.0)
     each = (net.sent - before) / len(NAMES) / 20.0
     assert each <= 12.0
+
+
+def test_a_vm_that_fell_back_has_no_lease_before_it_caught_up():
+    """A restart on an older view must not be taken for the newest."""
+    net = _start()
+    net.run(1.0)
+    _offer(net, 5)
+    net.run(1.0)
+    old = spread.Spread(
+        virtual_net.cfg("d", lease_s=LEASE_S),
+        "d",
+        view.View(vms=_vms(NAMES)),
+        recorder.MemoryRecorder(),
+        9,
+    )
+    old.reach(frozenset(NAMES) - {"d"})
+    net.parts["d"] = _Part(old)
+    for _ in range(100):
+        net.run(0.02, step_s=0.02)
+        assert not old.leased(net.now) or old.present.revision == 5
+    assert old.leased(net.now)
