--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -72,12 +72,26 @@
             background = _lines(child["background"])
         elif "scenario" in child:
             one = child["scenario"]
+            _refuse_prose(one)
             lines = tuple(background + _lines(one))
             out.append(Scenario(one["name"], lines))
     _check(out)
     return out
 
 
+def _refuse_prose(node: dict) -> None:
+    """Refuse lines that the parser takes as a description.
+
+    A misspelt keyword would make a step one, and nobody would notice.
+    """
+    number = node["location"]["line"] + 1
+    prose = node["description"].strip()
+    if prose:
+        raise BadFileError(f"{number}: not a step: {prose.splitlines()[0]}")
+    if not node["steps"]:
+        raise BadFileError(f"{number}: the scenario has no step")
+
+
 def _located(text: str) -> str:
     found = _LINE.search(text)
     return f"{found[1]}: {found[2]}" if found else f"1: {text}"
