--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -120,6 +120,32 @@
         assert _kinds(bed) == kinds
 
 
+class ForgetfulFlows(flows.Flows):
+    """A broken variant: new keepers decide before they know the flows."""
+
+    def changed(self, new, now):
+        found = super().changed(new, now)
+        self._handover._knows = [True] * len(self._handover._knows)
+        self._handover._missing = {}
+        return found
+
+
+def test_keepers_without_handover_are_caught():
+    for make, kinds in (
+        (ForgetfulFlows, {"broken"}),
+        (flows.Flows, set()),
+    ):
+        bed = _bed(make=make)
+        bed.mark(1, DRAINING)
+        bed.run(3)
+        bed.call(SERVICE, 200)
+        bed.run(1, 2.0)
+        bed.stop_vm("v2")
+        bed.join_vm("v6", "b")
+        bed.run(4, 2.0)
+        assert _kinds(bed) == kinds
+
+
 def test_damaged_and_foreign_packets_are_counted():
     log = recorder.MemoryRecorder()
     cfg = flow_bed.make_settings("v1", "a")
