--- a/tests/flow_bed.py
+++ b/tests/flow_bed.py
@@ -119,6 +119,7 @@
         measure=False,
     ):
         self.random = random.Random(seed)
+        self._seed = seed
         self.now = 0.0
         self.delay_s = delay_s
         self._placing = placing
@@ -340,7 +341,8 @@
         for _ in range(count):
             number = self._called
             self._called += 1
-            src = str(ipaddress.IPv4Address(0xC0000000 + number // 50))
+            base = 0xC0000000 + (self._seed % 256 << 16)
+            src = str(ipaddress.IPv4Address(base + number // 50))
             caller = Caller(src, 10_000 + number % 50, service)
             self.callers.append(caller)
             begun.append(caller)
