Split the keeper's module, keep the own name out of the peers

The composition may count a VM among the entry VMs it hears; a packet would then have been sent to itself.

--- a/ebonytally/flow_keeper.py
+++ b/ebonytally/flow_keeper.py
@@ -4,49 +4,19 @@
 import xxhash
 
 from ebonytally import actions
+from ebonytally import flow_exits
 from ebonytally import flow_handover
-from ebonytally import flow_keepers
+from ebonytally import flow_held
 from ebonytally import flow_limits
 from ebonytally import flow_messages
 from ebonytally import flow_packet
 from ebonytally import flow_promises
-from ebonytally import flow_recent
 from ebonytally import flow_records
 from ebonytally import flow_routes
 from ebonytally import flow_site
 from ebonytally import reasons
-from ebonytally import recorder as recorders
 from ebonytally import view
 
-MAX_HOPS = 5
-
-
-@attrs.define
-class Held:
-    """A packet in hand, with what was looked up of it.
-
-    :param hops: entry VMs that sent it on before
-    :param origin: entry VM that handed it to this one, "" for a caller
-    """
-
-    parsed: flow_packet.Parsed
-    route: flow_routes.Route
-    slot: int
-    group: int
-    data: bytes
-    hops: int
-    origin: str
-
-    @property
-    def starts(self) -> bool:
-        """Tell whether it is the first of a TCP connection."""
-        return self.parsed.marks == flow_packet.START
-
-    @property
-    def ends(self) -> bool:
-        """Tell whether the caller closes or resets the connection."""
-        return self.parsed.marks == flow_packet.END
-
 
 @attrs.define
 class Keeper:
@@ -57,10 +27,9 @@
     promises: flow_promises.Promises
     handover: flow_handover.Handover
     limits: flow_limits.Limits
-    recent: flow_recent.Recent
-    recorder: recorders.Recorder
+    exits: flow_exits.Exits
 
-    def decide(self, held: Held, now: float) -> list[actions.Action]:
+    def decide(self, held: flow_held.Held, now: float) -> list[actions.Action]:
         """Return what becomes of a packet that no keeper placed yet."""
         found = self._decide(held, now)
         refused = not any(
@@ -68,10 +37,12 @@
             for action in found
         )
         if refused and not held.starts:
-            found += self._object(held)
+            found += self.exits.object(held)
         return found
 
-    def _decide(self, held: Held, now: float) -> list[actions.Action]:
+    def _decide(
+        self, held: flow_held.Held, now: float
+    ) -> list[actions.Action]:
         record = self._record(held)
         if record is None:
             return self._unrecorded(held, now)
@@ -84,24 +55,26 @@
 
     def placed(
         self,
-        held: Held,
+        held: flow_held.Held,
         head: flow_messages.Hop,
         now: float,
     ) -> list[actions.Action]:
         """Take a packet whose upstream another entry VM has decided."""
         target = held.route.targets.get(head.upstream)
         if target is None:
-            return self.refuse(reasons.Refusal.FLOW_UPSTREAM_GONE)
+            return self.exits.refuse(reasons.Refusal.FLOW_UPSTREAM_GONE)
         if head.flags & flow_messages.RECORD:
             begins = head.flags & flow_messages.BEGINS
             if begins and head.epoch != self.site.epoch:
-                return self.refuse(reasons.Refusal.FLOW_NOT_YET_PLACED)
+                return self.exits.refuse(reasons.Refusal.FLOW_NOT_YET_PLACED)
             if held.starts and not self._has_room(held, target):
-                return self.refuse_caller(held, reasons.Refusal.FLOW_LIMIT)
+                return self.exits.refuse_caller(
+                    held, reasons.Refusal.FLOW_LIMIT
+                )
             self._note(held, target, now)
-        return self._out(held, target)
+        return self.exits.out(held, target)
 
-    def _record(self, held: Held) -> flow_records.Record | None:
+    def _record(self, held: flow_held.Held) -> flow_records.Record | None:
         flow = held.parsed.flow
         if not self.handover.trusts(held.group, flow):
             return None
@@ -109,41 +82,43 @@
 
     def _recorded(
         self,
-        held: Held,
+        held: flow_held.Held,
         record: flow_records.Record,
         target: flow_routes.Target,
         now: float,
     ) -> list[actions.Action]:
         found = []
         if not self._is_direct(held, target):
-            found = self._object(held)
+            found = self.exits.object(held)
         opening = record.state is flow_records.State.OPENING
         opens = opening and not held.starts
         if held.starts or held.ends or opens:
             return found + self._by_second(held, target, now)
         if self.records.due(record, now):
             return found + self._by_second(held, target, now)
-        return found + self._out(held, target)
+        return found + self.exits.out(held, target)
 
     def _is_direct(
         self,
-        held: Held,
+        held: flow_held.Held,
         target: flow_routes.Target,
     ) -> bool:
         direct = held.route.direct[held.slot]
         return direct is None or direct.id == target.id
 
-    def _unrecorded(self, held: Held, now: float) -> list[actions.Action]:
+    def _unrecorded(
+        self, held: flow_held.Held, now: float
+    ) -> list[actions.Action]:
         first = self.site.keepers.first[held.group]
         if first not in (self.site.me, held.origin) and self.site.heard(first):
-            return self.hand_on(held, first)
+            return self.exits.hand_on(held, first)
         if held.starts:
             return self._begin(held, now)
         if held.parsed.protocol == flow_packet.UDP and self._is_new(held, now):
             return self._begin(held, now)
         return self._unknown(held, now)
 
-    def _is_new(self, held: Held, now: float) -> bool:
+    def _is_new(self, held: flow_held.Held, now: float) -> bool:
         """Tell whether an unrecorded UDP packet begins a flow."""
         if not self.site.leased:
             return True
@@ -152,7 +127,7 @@
         name = held.route.service.name
         return self.handover.complete(name, held.group, now)
 
-    def _base(self, held: Held) -> flow_routes.Target | None:
+    def _base(self, held: flow_held.Held) -> flow_routes.Target | None:
         """Return where unrecorded flows go, None when it is dead."""
         route = held.route
         state = route.kept.get(held.slot)
@@ -161,7 +136,7 @@
         base = self.promises.base(route.service.name, state)
         return route.targets.get(state.base if base is None else base)
 
-    def _base_id(self, held: Held) -> int:
+    def _base_id(self, held: flow_held.Held) -> int:
         route = held.route
         state = route.kept.get(held.slot)
         if state is None:
@@ -169,26 +144,28 @@
         base = self.promises.base(route.service.name, state)
         return state.base if base is None else base
 
-    def _unknown(self, held: Held, now: float) -> list[actions.Action]:
+    def _unknown(
+        self, held: flow_held.Held, now: float
+    ) -> list[actions.Action]:
         """Decide about a packet in the middle of an unrecorded flow."""
         if not self.site.leased:
-            return self.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
+            return self.exits.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
         state = held.route.kept.get(held.slot)
         placing = state is not None and state.placing
         doubtful = placing or not self.site.whole()
         if doubtful and not self.handover.knows(held.group):
             return self._to_other(held)
         if self._may_be_foreign(held, now):
-            return self.refuse(reasons.Refusal.FLOW_UNKNOWN)
+            return self.exits.refuse(reasons.Refusal.FLOW_UNKNOWN)
         target = self._base(held)
         if target is None:
             return self._dead(held, self._base_id(held), now)
         if self.site.keepers.first[held.group] != self.site.me:
             self._note(held, target, now)
-            return self._out(held, target)
+            return self.exits.out(held, target)
         return self._by_second(held, target, now)
 
-    def _may_be_foreign(self, held: Held, now: float) -> bool:
+    def _may_be_foreign(self, held: flow_held.Held, now: float) -> bool:
         """Tell whether a flow may have begun beyond a partition."""
         if held.parsed.protocol != flow_packet.TCP or self.site.whole():
             return False
@@ -197,7 +174,7 @@
 
     def _dead(
         self,
-        held: Held,
+        held: flow_held.Held,
         upstream: int,
         now: float,
     ) -> list[actions.Action]:
@@ -207,16 +184,16 @@
         if held.starts or held.parsed.protocol == flow_packet.UDP:
             return self._begin(held, now)
         if not upstream:
-            return self.refuse(reasons.Refusal.FLOW_NO_UPSTREAM)
+            return self.exits.refuse(reasons.Refusal.FLOW_NO_UPSTREAM)
         if self.site.is_out(upstream):
             reason = reasons.Refusal.FLOW_DATA_CENTRE_OUT
-            return self.refuse_caller(held, reason)
+            return self.exits.refuse_caller(held, reason)
         if self.site.is_lost(upstream):
-            return self.refuse(reasons.Refusal.FLOW_UPSTREAM_UNREACHABLE)
+            return self.exits.refuse(reasons.Refusal.FLOW_UPSTREAM_UNREACHABLE)
         reason = reasons.Refusal.FLOW_UPSTREAM_GONE
-        return self.refuse_caller(held, reason)
+        return self.exits.refuse_caller(held, reason)
 
-    def _begin(self, held: Held, now: float) -> list[actions.Action]:
+    def _begin(self, held: flow_held.Held, now: float) -> list[actions.Action]:
         """Place a new flow."""
         if not self.site.leased:
             return self._begin_cut_off(held, now)
@@ -227,22 +204,22 @@
         if state is None or not state.placing:
             return self._begin_at_base(held, second, now)
         if second == "" and self.site.keepers.second[held.group]:
-            return self.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
+            return self.exits.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
         if not self.handover.agreed:
-            return self.refuse(reasons.Refusal.FLOW_NOT_YET_PLACED)
+            return self.exits.refuse(reasons.Refusal.FLOW_NOT_YET_PLACED)
         target = held.route.targets.get(state.next)
         if target is None:
             reason = reasons.Refusal.FLOW_NO_UPSTREAM
-            return self.refuse_caller(held, reason)
+            return self.exits.refuse_caller(held, reason)
         if not self._has_room(held, target):
-            return self.refuse_caller(held, reasons.Refusal.FLOW_LIMIT)
+            return self.exits.refuse_caller(held, reasons.Refusal.FLOW_LIMIT)
         if second and not self.site.heard(second):
-            return self.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
+            return self.exits.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
         return self._by_second(held, target, now, flow_messages.BEGINS)
 
     def _begin_at_base(
         self,
-        held: Held,
+        held: flow_held.Held,
         second: str,
         now: float,
     ) -> list[actions.Action]:
@@ -250,19 +227,19 @@
         if target is None:
             if self._base_id(held):
                 reason = reasons.Refusal.FLOW_NOT_YET_PLACED
-                return self.refuse(reason)
+                return self.exits.refuse(reason)
             reason = reasons.Refusal.FLOW_NO_UPSTREAM
-            return self.refuse_caller(held, reason)
+            return self.exits.refuse_caller(held, reason)
         if not self._has_room(held, target):
-            return self.refuse_caller(held, reasons.Refusal.FLOW_LIMIT)
+            return self.exits.refuse_caller(held, reasons.Refusal.FLOW_LIMIT)
         if second:
             return self._by_second(held, target, now)
         self._note(held, target, now)
-        return self._out(held, target)
+        return self.exits.out(held, target)
 
     def _begin_cut_off(
         self,
-        held: Held,
+        held: flow_held.Held,
         now: float,
     ) -> list[actions.Action]:
         """Place a new flow in the own data centre."""
@@ -274,7 +251,7 @@
         ]
         if not mine:
             reason = reasons.Refusal.FLOW_UPSTREAM_UNREACHABLE
-            return self.refuse(reason)
+            return self.exits.refuse(reason)
         base = self._base_id(held)
         target = max(
             mine,
@@ -284,12 +261,12 @@
             ),
         )
         if not self._has_room(held, target):
-            return self.refuse_caller(held, reasons.Refusal.FLOW_LIMIT)
+            return self.exits.refuse_caller(held, reasons.Refusal.FLOW_LIMIT)
         return self._by_second(held, target, now)
 
     def _by_second(
         self,
-        held: Held,
+        held: flow_held.Held,
         target: flow_routes.Target,
         now: float,
         flags: int = 0,
@@ -298,15 +275,15 @@
         self._note(held, target, now)
         other = self.site.keepers.other(held.group, self.site.me)
         if not other or other == self.site.me or not self.site.heard(other):
-            return self._out(held, target)
-        if held.hops >= MAX_HOPS:
-            return self.refuse(reasons.Refusal.PACKET_LOOP)
+            return self.exits.out(held, target)
+        if held.hops >= flow_exits.MAX_HOPS:
+            return self.exits.refuse(reasons.Refusal.PACKET_LOOP)
         flags |= flow_messages.PLACED | flow_messages.RECORD
-        return [self._hop(held, other, flags, target.id)]
+        return [self.exits.hop(held, other, flags, target.id)]
 
     def _note(
         self,
-        held: Held,
+        held: flow_held.Held,
         target: flow_routes.Target,
         now: float,
     ) -> None:
@@ -323,7 +300,9 @@
         self.records.put(name, held.slot, flow, target.id, state, now)
         self.handover.note_fresh(held.group, flow)
 
-    def _has_room(self, held: Held, target: flow_routes.Target) -> bool:
+    def _has_room(
+        self, held: flow_held.Held, target: flow_routes.Target
+    ) -> bool:
         name = held.route.service.name
         flow = held.parsed.flow
         before = self.records.get(name, held.slot, flow)
@@ -331,104 +310,8 @@
             return True
         return self.limits.has_room(held.group, target)
 
-    def _out(
-        self,
-        held: Held,
-        target: flow_routes.Target,
-    ) -> list[actions.Action]:
-        """Send a packet to its upstream, or towards it."""
-        here = target.data_centre == self.site.data_centre
-        if self.site.leased or here:
-            return [
-                actions.Forward(
-                    target.id,
-                    target.address,
-                    target.port,
-                    held.data,
-                )
-            ]
-        peer = self.site.peer_in(target.data_centre)
-        if not peer:
-            reason = reasons.Refusal.FLOW_UPSTREAM_UNREACHABLE
-            return self.refuse(reason)
-        if held.hops >= MAX_HOPS:
-            return self.refuse(reasons.Refusal.PACKET_LOOP)
-        return [self._hop(held, peer, flow_messages.PLACED, target.id)]
-
-    def _to_other(self, held: Held) -> list[actions.Action]:
+    def _to_other(self, held: flow_held.Held) -> list[actions.Action]:
         other = self.site.keepers.other(held.group, self.site.me)
         if not other or other == held.origin or not self.site.heard(other):
-            return self.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
-        return self.hand_on(held, other)
-
-    def hand_on(self, held: Held, peer: str) -> list[actions.Action]:
-        """Hand an undecided packet to another entry VM."""
-        if held.hops >= MAX_HOPS:
-            return self.refuse(reasons.Refusal.PACKET_LOOP)
-        return [self._hop(held, peer, 0, 0)]
-
-    def _hop(
-        self,
-        held: Held,
-        peer: str,
-        flags: int,
-        upstream: int,
-    ) -> actions.Send:
-        msg = flow_messages.hop(
-            held.hops + 1,
-            flags,
-            upstream,
-            self.site.epoch,
-            held.data,
-        )
-        return actions.Send(peer, msg)
-
-    def _object(self, held: Held) -> list[actions.Action]:
-        """Tell the entry VM not to send this flow to the base."""
-        if not held.origin:
-            forget(self.recent, held.route, held.parsed.flow)
-            return []
-        msg = flow_messages.FlowRefused(
-            held.parsed.service,
-            held.parsed.flow,
-        )
-        return [actions.Send(held.origin, msg)]
-
-    def refuse(self, reason: reasons.Refusal) -> list[actions.Action]:
-        """Drop a packet and count why."""
-        self.recorder.refused(reason)
-        return []
-
-    def refuse_caller(
-        self,
-        held: Held,
-        reason: reasons.Refusal,
-    ) -> list[actions.Action]:
-        """Drop a packet, count why and tell the caller."""
-        self.recorder.refused(reason)
-        answer = flow_packet.refusal(held.data)
-        return [] if answer is None else [actions.ToCaller(answer)]
-
-
-def forget(
-    recent: flow_recent.Recent,
-    route: flow_routes.Route,
-    flow: int,
-) -> None:
-    """Send further packets of a flow by way of its keeper."""
-    target = route.direct[flow & route.mask]
-    if target is not None:
-        recent.forget(flow ^ target.mix)
-
-
-def lookup(
-    parsed: flow_packet.Parsed,
-    route: flow_routes.Route,
-    data: bytes,
-    hops: int,
-    origin: str,
-) -> Held:
-    """Return a packet in hand."""
-    slot = parsed.flow & route.mask
-    group = (slot + route.seed) & (flow_keepers.GROUPS - 1)
-    return Held(parsed, route, slot, group, data, hops, origin)
+            return self.exits.refuse(reasons.Refusal.FLOW_KEEPER_UNREACHABLE)
+        return self.exits.hand_on(held, other)
--- a/ebonytally/flows.py
+++ b/ebonytally/flows.py
@@ -7,7 +7,9 @@
 
 from ebonytally import actions
 from ebonytally import commands
+from ebonytally import flow_exits
 from ebonytally import flow_handover
+from ebonytally import flow_held
 from ebonytally import flow_keeper
 from ebonytally import flow_keepers
 from ebonytally import flow_limits
@@ -70,14 +72,14 @@
         )
         self._limits = flow_limits.Limits(self._site, self._counts)
         self._limits.changed()
+        self._exits = flow_exits.Exits(self._site, self._recent, recorder)
         self._keeper = flow_keeper.Keeper(
             self._site,
             self._records,
             self._promises,
             self._handover,
             self._limits,
-            self._recent,
-            recorder,
+            self._exits,
         )
         self._pins = flow_pins.Pins(
             self._site,
@@ -135,7 +137,7 @@
         if first in site.peers and site.keepers.second[group] != site.me:
             msg = flow_messages.hop(1, 0, 0, site.epoch, data)
             return [actions.Send(first, msg)]
-        held = flow_keeper.lookup(parsed, route, data, 0, "")
+        held = flow_held.lookup(parsed, route, data, 0, "")
         return self._towards_keeper(held, now)
 
     def handle(
@@ -208,7 +210,7 @@
             # What was sent to the lost peer may not have arrived.
             young = 2 * flow_recent.UDP_CONFIRM_TICKS
             self._recent.forget_young(young, now)
-        self._site.peers = peers
+        self._site.peers = peers - {self._site.me}
         self._site.leased = leased
         if not leased:
             self._lapsed = True
@@ -272,13 +274,13 @@
             return self._refuse(reasons.Refusal.FRAME_MALFORMED)
         if type(parsed) is not flow_packet.Parsed:
             return self._refuse(parsed)
-        if head.hops > flow_keeper.MAX_HOPS:
+        if head.hops > flow_exits.MAX_HOPS:
             return self._refuse(reasons.Refusal.PACKET_LOOP)
         route = self._routes.get(parsed.service)
         if route is None:
             reason = reasons.Refusal.PACKET_UNKNOWN_ADDRESS
             return self._refuse(reason)
-        held = flow_keeper.lookup(
+        held = flow_held.lookup(
             parsed,
             route,
             msg.packet,
@@ -291,7 +293,7 @@
 
     def _towards_keeper(
         self,
-        held: flow_keeper.Held,
+        held: flow_held.Held,
         now: float,
     ) -> list[actions.Action]:
         site = self._site
@@ -301,12 +303,12 @@
             return self._keeper.decide(held, now)
         for keeper in (first, second):
             if keeper and keeper != held.origin and site.heard(keeper):
-                return self._keeper.hand_on(held, keeper)
+                return self._exits.hand_on(held, keeper)
         return self._without_keeper(held)
 
     def _without_keeper(
         self,
-        held: flow_keeper.Held,
+        held: flow_held.Held,
     ) -> list[actions.Action]:
         """Decide when no keeper is heard: old flows of pinned slots."""
         target = held.route.direct[held.slot]
@@ -332,7 +334,7 @@
     ) -> list[actions.Action]:
         route = self._routes.get(msg.service)
         if route is not None:
-            flow_keeper.forget(self._recent, route, msg.flow)
+            flow_held.forget(self._recent, route, msg.flow)
         return []
 
     def _note_pause(self, now: float) -> None:
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -1,6 +1,6 @@
 """Flows through planned changes and the loss of entry VMs."""
 
-from ebonytally import flow_keeper
+from ebonytally import flow_exits
 from ebonytally import flow_messages
 from ebonytally import flow_packet
 from ebonytally import flows
@@ -182,7 +182,7 @@
     data = flow_bed.packet("192.0.2.1", 5, SERVICE, flow_bed.SYN)
     for one in bed.vms.values():
         for flags in (0, flow_messages.PLACED):
-            hops = flow_keeper.MAX_HOPS
+            hops = flow_exits.MAX_HOPS
             hop = flow_messages.hop(hops, flags, 1, 1, data)
             found = one.handle("v9", hop, bed.now)
             assert not any(isinstance(a, flow_bed.actions.Send) for a in found)
