Divide the limit by an upstream's slots, write down flows

Parts by slot groups refused the first flows at 75 % of the limit with 5 VMs and 7 endpoints, and at 8 % with 40 VMs and 300 endpoints (computed).

--- a/ebonytally/flow_keeper.py
+++ b/ebonytally/flow_keeper.py
@@ -308,7 +308,7 @@
         before = self.records.get(name, held.slot, flow)
         if before is not None and before.state < flow_records.State.ENDED:
             return True
-        return self.limits.has_room(held.group, target)
+        return self.limits.has_room(held.route, held.group, target)
 
     def _to_other(self, held: flow_held.Held) -> list[actions.Action]:
         other = self.site.keepers.other(held.group, self.site.me)
--- a/ebonytally/flows.py
+++ b/ebonytally/flows.py
@@ -197,6 +197,8 @@
             self._lapsed = not self._site.leased
         self._take_services(old, now)
         self._promises.prune(self._routes.values())
+        for route in self._routes.values():
+            self._limits.prepare(route)
         return self._handover.tick(self._routes, now)
 
     def reach(
--- a/tests/flow_bed.py
+++ b/tests/flow_bed.py
@@ -481,6 +481,9 @@
         if not self.sides.get(name, 1):
             self.commit(command)
 
+    def _on_established(self, caller):
+        self.send(caller, ACK)
+
     def _on_packet(self, name, data, caller):
         one = self.vms.get(name)
         if one is not None:
@@ -528,6 +531,7 @@
             caller.over = True
             return
         process.flows.add(caller)
+        self._at(HOP_S, "established", caller)
         draining = process.draining_at
         # One delay until all know, one more until keepers place.
         grace = max(DRAIN_GRACE_S, 2 * self.delay_s + 4 * TICK_S)
