--- a/ebonytally/log_storage.py
+++ b/ebonytally/log_storage.py
@@ -178,7 +178,7 @@
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, None when it isn't known."""
         if index == 0:
-            return 0
+            return 0 if self._first == 1 else None
         if self.snapshot is not None and index == self.snapshot.index:
             return self.snapshot.term
         if self._first <= index <= self.last_index:
@@ -195,7 +195,12 @@
         max_count: int,
         max_bytes: int,
     ) -> tuple[Entry, ...]:
-        """Return entries from `first` on, at least one if there is one."""
+        """Return entries from `first` on, at least one if there is one.
+
+        :raises ValueError: when `first` was compacted away
+        """
+        if first < self._first:
+            raise ValueError(f"entry {first} is not here any more")
         found: list[Entry] = []
         size = 0
         start = first - self._first
@@ -219,6 +224,8 @@
         """Add entries behind the last one and make them durable."""
         if not entries:
             return
+        if entries[0].index != self.last_index + 1:
+            raise ValueError(f"entry {entries[0].index} leaves a gap")
         self._mend()
         segment = self._segment_for(entries[0].index)
         data = b"" if segment.size else _SEGMENT_HEAD
--- a/tests/test_agreement_voters.py
+++ b/tests/test_agreement_voters.py
@@ -54,6 +54,23 @@
     assert cluster.machines["d"].values == cluster.machines["b"].values
 
 
+def test_empty_disk_behind_a_compacted_log_gets_the_snapshot():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 100)
+    leader = cluster.elect()
+    wiped = _others(cluster, leader)[0]
+    assert cluster.nodes[leader]._state.storage.first_index > 1
+    cluster.start(wiped, disk=fakes.Disk())
+    wanted = cluster.machines[leader].values
+
+    def checked():
+        values = cluster.machines[wiped].values
+        assert values == wanted[: len(values)]
+        return values == wanted
+
+    cluster.run_until(checked)
+
+
 def test_vm_with_an_empty_disk_has_no_vote_under_its_old_name():
     cluster = fakes.Cluster(NAMES)
     _fill(cluster, 0, 5)
