--- a/benches/bench_requests.py
+++ b/benches/bench_requests.py
@@ -225,16 +225,18 @@
     rate: float,
     until: float,
     sink: list[Sent],
+    rng: random.Random | None = None,
 ) -> None:
     """Let requests arrive at random times, `rate` a second."""
+    rng = rng or world.random
 
     def arrive() -> None:
         if world.now >= until:
             return
         world.send(service, sink)
-        world.after(world.random.expovariate(rate), arrive)
+        world.after(rng.expovariate(rate), arrive)
 
-    world.after(world.random.expovariate(rate), arrive)
+    world.after(rng.expovariate(rate), arrive)
 
 
 def _counts(world: Caller, names: tuple[str, ...]) -> int:
@@ -245,7 +247,17 @@
     )
 
 
-def _level(world: Caller, load: float, desk: list[Endpoint]) -> dict:
+def _times(seed: int, load: float) -> random.Random:
+    """Return what draws the arrivals of a level, for all dispatchers."""
+    return random.Random(f"{seed}/{load}")
+
+
+def _level(
+    world: Caller,
+    load: float,
+    desk: list[Endpoint],
+    seed: int,
+) -> dict:
     """Measure one level of load on the desk; the store stays quiet."""
     until = world.now + SETTLE_S
     _arrivals(world, "desk", load * CAPACITY, until, [])
@@ -258,7 +270,7 @@
     work_s = sum(one.work_s for one in desk)
     shed = sum(one.shed for one in desk)
     key_bytes = world.key_bytes
-    _arrivals(world, "desk", load * CAPACITY, end, sink)
+    _arrivals(world, "desk", load * CAPACITY, end, sink, _times(seed, load))
     _arrivals(world, "store", QUIET_RATE, end, quiet)
     world.run(end)
     work_s = sum(one.work_s for one in desk) - work_s
@@ -344,6 +356,7 @@
 
     def __init__(self, seed: int, choice: str) -> None:
         """Start with warm endpoints."""
+        self._seed = seed
         self.random = random.Random(seed)
         self._heap: list = []
         self._order = 0
@@ -374,15 +387,9 @@
         sink: list[Sent] = []
         end = SETTLE_S + MEASURE_S
 
-        def arrive() -> None:
-            if self.now < end:
-                sent = Sent("desk", "", self.now)
-                if self.now >= SETTLE_S:
-                    sink.append(sent)
-                self._begin(sent)
-                self.after(self.random.expovariate(load * CAPACITY), arrive)
-
-        arrive()
+        rate = load * CAPACITY
+        self._arrivals(0.0, SETTLE_S, rate, self.random, [])
+        self._arrivals(SETTLE_S, end, rate, _times(self._seed, load), sink)
         work_s = 0.0
         while self._heap and self._heap[0][0] <= end:
             self.now, _, run = heapq.heappop(self._heap)
@@ -402,6 +409,26 @@
         figures["retries"] = self.retries
         return figures
 
+    def _arrivals(
+        self,
+        begin: float,
+        end: float,
+        rate: float,
+        rng: random.Random,
+        sink: list[Sent],
+    ) -> None:
+        """Let requests arrive from `begin` to `end`."""
+
+        def arrive() -> None:
+            if self.now >= end:
+                return
+            sent = Sent("desk", "", self.now)
+            sink.append(sent)
+            self._begin(sent)
+            self.after(rng.expovariate(rate), arrive)
+
+        self.after(begin + rng.expovariate(rate), arrive)
+
     def _begin(self, sent: Sent) -> None:
         if self._perfect:
             limit = PERFECT_WAIT_SHARE * TIMEOUT_S * CAPACITY
@@ -451,7 +478,7 @@
             sent.refused_s = self.now - sent.at
 
     def _done(self, sent, vm, number, attempt, took_s) -> None:
-        self.endpoints[number].end(attempt, took_s)
+        self.endpoints[number].end(attempt, took_s, self.now)
         self._two.busy[vm][number] -= 0 if self._perfect else 1
         waited_s = self.now - sent.at
         if waited_s <= TIMEOUT_S:
@@ -472,14 +499,14 @@
     world.run(WARM_S + TIMEOUT_S)
     out: dict = {"capacity_per_s": CAPACITY, "loads": {}}
     for load in LOADS:
-        level = {"ebonytally": _level(world, load, desk)}
+        level = {"ebonytally": _level(world, load, desk, seed)}
         for choice in ("perfect", "round_robin", "random_of_two"):
             level[choice] = Baseline(seed, choice).level(load)
         out["loads"][str(load)] = level
         if not json_only:
             _show(load, level)
     world.break_share = BREAK_SHARE
-    broken = {"ebonytally": _level(world, BREAK_LOAD, desk)}
+    broken = {"ebonytally": _level(world, BREAK_LOAD, desk, seed)}
     out["with_broken_connections"] = broken["ebonytally"]
     if not json_only:
         print("half a percent of connections break after the run:")
--- a/tests/key_cluster.py
+++ b/tests/key_cluster.py
@@ -205,8 +205,10 @@
             down = vm.state is view.VmState.DOWN
             if down or node.incarnation > vm.incarnation:
                 self.mark(name, view.VmState.UP)
-            self._catch_up(name, node)
-            node.lease_until = self.now + LEASE_S
+        for name, node in self.nodes.items():
+            if name not in self.cut:
+                self._catch_up(name, node)
+                node.lease_until = self.now + LEASE_S
 
     def _catch_up(self, name: str, node: Node) -> None:
         """Show the node the newest view that has reached it."""
--- a/tests/test_key_cases.py
+++ b/tests/test_key_cases.py
@@ -32,6 +32,16 @@
     return key_places.present(cluster.latest).pairs()[bucket].names
 
 
+def _same_bucket(cluster, key: str) -> str:
+    """Return another new key of the same bucket."""
+    wanted = key_id.bucket(key_id.parse(key).raw)
+    for number in range(2, 100_000):
+        other = _key(cluster, number)
+        if key_id.bucket(key_id.parse(other).raw) == wanted:
+            return other
+    raise LookupError(key)
+
+
 def _others(cluster, key: str) -> list[str]:
     keepers = _keepers(cluster, key)
     return [name for name in cluster.nodes if name not in keepers]
@@ -45,8 +55,8 @@
     """Send a request by way of `name` and let its attempt end."""
     cluster.send(name, key)
     cluster.advance(0.3)
-    (attempt,) = cluster.attempts
-    cluster.finish(attempt, kind)
+    assert len(cluster.attempts) == 1
+    cluster.finish(next(iter(cluster.attempts)), kind)
     cluster.advance(0.3)
 
 
@@ -167,6 +177,7 @@
 def test_two_vms_lost_at_once_leave_the_other_keeper_knowing():
     cluster = _settled(count=5)
     key = _key(cluster)
+    unsent = _same_bucket(cluster, key)
     first, second = _keepers(cluster, key)
     _run(cluster, _others(cluster, key)[0], key)
     cluster.kill(first)
@@ -176,6 +187,8 @@
     cluster.advance(0.5)
     assert _last(cluster).outcome is O.ANSWERED
     assert cluster.runs[key] == 1
+    _run(cluster, second, unsent)
+    assert cluster.runs[unsent] == 1
 
 
 def test_both_keepers_lost_at_once_is_unknown_and_new_keys_run():
@@ -242,6 +255,19 @@
     assert _last(cluster).reason == reasons.Refusal.KEY_KEEPER_UNREACHABLE
 
 
+def test_keepers_that_are_cut_off_together_grant_nothing():
+    cluster = _settled(count=5)
+    old = _key(cluster)
+    first, second = _keepers(cluster, old)
+    cluster.cut = {first, second}
+    cluster.advance(12.0)
+    key = _same_bucket(cluster, old)
+    cluster.send(first, key, timeout_s=1.0)
+    _run(cluster, _keepers(cluster, key)[0], key)
+    cluster.advance(1.0)
+    assert cluster.runs[key] == 1
+
+
 def test_planned_stop_of_both_keepers_hands_over():
     cluster = _settled(count=5)
     key = _key(cluster)
