Say in plans what is known of the load, and no more

A plan printed '(0 now)' for running requests that nobody counts, and a total of flows that only one entry VM had counted. Running requests are 'not known' unless told, flows are called known, and a data centre without upstreams ends no flow.

--- a/ebonytally/plan_capacity.py
+++ b/ebonytally/plan_capacity.py
@@ -90,7 +90,12 @@
 
 
 def _running(upstreams: list[view.Upstream], facts: messages.Facts) -> int:
-    if not facts.counted_by:
-        return UNKNOWN
     ids = {up.id for up in upstreams}
-    return sum(load.running for load in facts.loads if load.upstream in ids)
+    known = [
+        load.running
+        for load in facts.loads
+        if load.upstream in ids and load.running >= 0
+    ]
+    if not facts.counted_by or not known:
+        return UNKNOWN
+    return sum(known)
--- a/ebonytally/plan_messages.py
+++ b/ebonytally/plan_messages.py
@@ -104,12 +104,12 @@
 
     :param upstream: upstream id
     :param open_flows: flows that keepers know to be open
-    :param running: requests that run on it
+    :param running: requests that run on it, -1 when not known
     """
 
     upstream: int
     open_flows: int
-    running: int = 0
+    running: int = -1
 
 
 @attrs.frozen
--- a/ebonytally/plan_text.py
+++ b/ebonytally/plan_text.py
@@ -20,7 +20,7 @@
     out.append("What changes:")
     out += [f"  {line}" for line in draft.changes]
     out.append(f"VMs concerned: {', '.join(draft.vms) or 'none'}")
-    out += _capacity_lines(draft.capacities)
+    out += _capacity_lines(draft)
     if draft.warnings:
         out.append("WARNINGS:")
         out += [f"  ! {warn.text}" for warn in draft.warnings]
@@ -30,13 +30,11 @@
     return out
 
 
-def _capacity_lines(
-    capacities: tuple[messages.Capacity, ...],
-) -> list[str]:
-    if not capacities:
+def _capacity_lines(draft: messages.Draft) -> list[str]:
+    if not draft.capacities:
         return []
     out = ["Capacity of each service, now -> afterwards:"]
-    for one in capacities:
+    for one in draft.capacities:
         out.append(
             f"  {one.service}: "
             f"{_arrow(one.upstreams_before, one.upstreams_after)} upstreams "
@@ -61,7 +59,7 @@
 def _load(count: int) -> str:
     if count < 0:
         return ""
-    return f" ({count} now)"
+    return f" ({count} known now)"
 
 
 def _next_lines(plan: messages.Plan) -> list[str]:
--- a/ebonytally/plan_warnings.py
+++ b/ebonytally/plan_warnings.py
@@ -170,8 +170,9 @@
         one.connections_after < one.connections_before for one in capacities
     )
     if shrinks and plan_capacity.is_partial(cfg, facts):
+        count = facts.counted_by
         yield messages.Warn(
             messages.Caution.COUNTS_PARTIAL,
-            f"Flows were counted by {facts.counted_by} entry VMs only; "
-            "there are more.",
+            f"Flows were counted by {count} of the entry VMs only, so there "
+            "are more of them than it says.",
         )
--- a/ebonytally/plans.py
+++ b/ebonytally/plans.py
@@ -13,7 +13,6 @@
 from ebonytally import view_find
 
 _LISTED_VMS = 12
-_ENDING = (messages.TakeOut, messages.RemoveService)
 
 
 def make(
@@ -39,12 +38,13 @@
     steps: tuple[object, ...],
 ) -> messages.Draft:
     after = functools.reduce(config.apply, steps, cfg)
-    ending = _flows_ending(intent, cfg, facts)
+    emptied = _emptied(intent, cfg)
+    ending = plan_capacity.open_flows(emptied, facts) if emptied else 0
     capacities = plan_capacity.compare(cfg, after, facts)
     return messages.Draft(
         changes=(
             *_changes(intent, cfg),
-            *_ending_lines(intent, cfg, facts, ending),
+            *_ending_lines(emptied, cfg, facts, ending),
         ),
         vms=_vms(intent, cfg),
         flows_ending=ending,
@@ -53,28 +53,26 @@
     )
 
 
-def _flows_ending(
+def _emptied(
     intent: messages.Intent,
     cfg: view.View,
-    facts: messages.Facts,
-) -> int:
+) -> list[view.Upstream]:
+    """Return the upstreams whose flows end."""
     match intent:
         case messages.TakeOut(data_centre=name):
-            hit = [up for up in cfg.upstreams if up.data_centre == name]
+            return [up for up in cfg.upstreams if up.data_centre == name]
         case messages.RemoveService(name=name):
-            hit = [up for up in cfg.upstreams if up.service == name]
-        case _:
-            return 0
-    return plan_capacity.open_flows(hit, facts)
+            return [up for up in cfg.upstreams if up.service == name]
+    return []
 
 
 def _ending_lines(
-    intent: messages.Intent,
+    emptied: list[view.Upstream],
     cfg: view.View,
     facts: messages.Facts,
     ending: int,
 ) -> tuple[str, ...]:
-    if not isinstance(intent, _ENDING):
+    if not emptied:
         return ("No open flow ends.",)
     if ending < 0:
         return ("Open flows there end; how many isn't known now.",)
@@ -175,12 +173,14 @@
     name = intent.data_centre
     hit = [up for up in cfg.upstreams if up.data_centre == name]
     services = sorted({up.service for up in hit})
-    listed = ", ".join(services) or "no service"
+    listed = ", ".join(services)
+    upstreams = f"Its {len(hit)} upstreams (of {listed}) get nothing until "
+    if not hit:
+        upstreams = "Upstreams that announce themselves there wait until "
     return (
         f"Data centre {name} is taken out: within seconds of your "
         "confirmation no packet and no request goes there any more.",
-        f"Its {len(hit)} upstreams (of {listed}) get nothing until you "
-        "bring it back.",
+        upstreams + "you bring it back.",
         "Its entry VMs go on and pass their callers to the other data "
         "centres.",
     )
