--- a/ebonytally/daemon.py
+++ b/ebonytally/daemon.py
@@ -19,6 +19,7 @@
 from ebonytally import errors
 from ebonytally import events
 from ebonytally import folder_lock
+from ebonytally import health_http
 from ebonytally import intent_http
 from ebonytally import live_recorder
 from ebonytally import node as nodes
@@ -116,6 +117,14 @@
             self._recorder,
         )
         stack.callback(announcements.stop)
+        poller = health_http.HealthPoller(
+            self._node.upstreams,
+            lambda: self._node.present,
+            cfg.data_centre,
+            self._clock,
+        )
+        stack.callback(poller.stop)
+        poller.start()
         self._requests.start()
         self._intents.start()
         announcements.start()
