--- a/benches/bench_flows.py
+++ b/benches/bench_flows.py
@@ -21,6 +21,7 @@
 DELAY_S = 2.0
 CHATTER = 1.0
 DRAINING = view.UpstreamState.DRAINING
+START_UP_S = 8
 CONTROL_S = 60
 CHANGE_EVERY_S = 10
 
@@ -184,6 +185,7 @@
 def _control(size: Size, seed: int) -> dict:
     """Count control bytes with an upstream change every 10 s."""
     one = bed(size, "this", seed, measure=True)
+    one.run(START_UP_S, CHATTER)
     one.control_bytes.clear()
     one.hand_bytes = one.log_bytes = one.forwarded = 0
     for n in range(CONTROL_S // CHANGE_EVERY_S):
