Let a removed VM come back under a leader that it never knew

Voters now tell the leader of a VM that isn't listed. The machine's fake no longer calls a VM whose power went in the same step.

--- a/ebonytally/agreement.py
+++ b/ebonytally/agreement.py
@@ -236,7 +236,7 @@
     def _handle(self, peer: str, msg: object, now: float) -> None:
         identity = getattr(msg, "identity", "")
         if identity:
-            self._state.saw_identity(peer, identity, now)
+            self._saw(getattr(msg, "name", "") or peer, identity, now)
         if not self._same_generation(peer, msg):
             return
         if self._dispatch(peer, msg, now):
@@ -245,6 +245,18 @@
             self._election.restart_timer(now)
         self._advance(now)
 
+    def _saw(self, name: str, identity: str, now: float) -> None:
+        """Note a VM's identity; tell the leader of an unlisted VM.
+
+        A VM that was removed and is wanted again may know none of the
+        present leader.
+        """
+        state = self._state
+        state.saw_identity(name, identity, now)
+        listed = name == state.me or name in state.peers
+        if not listed and state.leader not in ("", state.me):
+            state.send(state.leader, messages.Hello(identity, name))
+
     def _same_generation(self, peer: str, msg: object) -> bool:
         """Return whether both belong to the same voter list's history.
 
--- a/ebonytally/agreement_messages.py
+++ b/ebonytally/agreement_messages.py
@@ -185,9 +185,11 @@
     """Make a VM known that isn't in the voter list.
 
     :param identity: id of its data folder
+    :param name: the VM, "" for the sender itself
     """
 
     identity: str
+    name: str = ""
 
 
 @wire.message(120)
--- a/tests/agreement_fakes.py
+++ b/tests/agreement_fakes.py
@@ -229,6 +229,8 @@
 
     def call(self, name, step):
         """Call a node; it is gone when its power goes in the midst."""
+        if name not in self.nodes:
+            return
         try:
             acts = step(self.nodes[name])
         except PowerLostError:
--- a/tests/test_agreement_voters.py
+++ b/tests/test_agreement_voters.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ebonytally import agreement_messages as messages
 from ebonytally import commands
 from ebonytally import config
 from ebonytally import errors
@@ -54,6 +55,27 @@
     assert cluster.machines["d"].values == cluster.machines["b"].values
 
 
+def test_removed_vm_comes_back_under_a_leader_that_it_never_knew():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 3)
+    cluster.crash("c")
+    cluster.start("d")
+
+    def voting_are(*names):
+        _want(cluster, names)
+        nodes = [cluster.nodes[name] for name in names]
+        return all(_voting(node) == list(names) for node in nodes)
+
+    cluster.run_until(lambda: voting_are("a", "b", "d"))
+    node = cluster.nodes["d"]
+    stand = messages.TimeoutNow(node.generation, node.term)
+    cluster.do("d", node.handle("a", stand, cluster.now))
+    cluster.run(1.0)
+    assert cluster.elect() == "d"
+    cluster.start("c")
+    cluster.run_until(lambda: voting_are("a", "b", "c", "d"))
+
+
 def test_empty_disk_behind_a_compacted_log_gets_the_snapshot():
     cluster = fakes.Cluster(NAMES)
     _fill(cluster, 0, 100)
