--- a/tests/test_upstream_care.py
+++ b/tests/test_upstream_care.py
@@ -190,6 +190,7 @@
         warm.say("10.1.0.1", "dc-1")
         warm.cut.clear()
         warm.pass_time(0.2)
+        warm.pass_time(0.2)
         warm.settle(2)
     assert said is not None
     assert commands.UpstreamGone(1, 1) not in warm.proposed
@@ -213,6 +214,16 @@
     assert starts(warm, now) == {1: 1, 2: 0, 3: 0}
 
 
+def test_without_a_lease_no_other_data_centre_is_used(warm):
+    warm.leased["vm-5"] = False
+    warm.reach("vm-5")
+    for _ in range(20):
+        warm.take("vm-5")
+        warm.settle(2)
+        warm.pass_time(0.02)
+    assert [one for one in warm.running if one.vm == "vm-5"] == []
+
+
 def test_lender_abroad_waits_and_lends_half(warm):
     for name in ("vm-1", "vm-2"):
         warm.stop(name)
