--- a/standins/callers.py
+++ b/standins/callers.py
@@ -109,7 +109,7 @@
         """Send a packet on `count` flows, first packets again if lost."""
         for _ in range(min(count, len(self._live))):
             flow = self._random.choice(self._live)
-            if flow.reset or flow.given_up or flow.broken:
+            if flow.reset:
                 self._live.remove(flow)
                 continue
             flags = packets.ACK if flow.delivered else packets.SYN
