--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -6,7 +6,6 @@
 import argparse
 import importlib
 import json
-import os
 import sys
 
 NAMES = (
@@ -40,10 +39,11 @@
     figures = bench.run(args.seed, args.json)
     line = json.dumps(figures, sort_keys=True)
     if args.report:
-        os.makedirs(args.report, exist_ok=True)
-        path = os.path.join(args.report, f"{args.name}.json")
-        with open(path, "w", encoding="utf-8") as file:
-            file.write(line + "\n")
+        # Only now: the plotting library is slow to import.
+        from benches import report
+
+        path = report.write(args.report, args.name, figures)
+        print(f"report: {path}")
     print(line)
     return 0
 
--- a/benches/bench_capacity.py
+++ b/benches/bench_capacity.py
@@ -191,7 +191,12 @@
 
 def _spread_figures(seed: int) -> dict[str, list[float]]:
     """Measure idle bytes and time for each VM by the number of VMs."""
-    out: dict[str, list[float]] = {"mean": [], "max": [], "cpu": []}
+    out: dict[str, list[float]] = {
+        "mean": [],
+        "max": [],
+        "cpu": [],
+        "in_force": [],
+    }
     for count in VMS:
         vms = tuple(_vm(index) for index in range(count))
         first = view.View(vms=vms)
@@ -211,9 +216,24 @@
         out["mean"].append(sum(rates) / count)
         out["max"].append(max(rates))
         out["cpu"].append(spent / SPAN_S / count)
+        out["in_force"].append(_in_force_s(net, vms[0].name))
     return out
 
 
+def _in_force_s(net: virtual_net.Net, leader: str) -> float:
+    """Return the time until every VM has applied one more revision."""
+    parts = [part.spread for part in net.parts.values()]
+    revision = parts[0].present.revision + 1
+    command = commands.DataCentreOut("dc-0")
+    net.parts[leader].spread.offer(revision, command)
+    began = net.now
+    while any(part.present.revision < revision for part in parts):
+        net.run(0.05)
+        if net.now - began > 60.0:
+            return float("inf")
+    return net.now - began
+
+
 def _flow_figures() -> list[float]:
     """Measure memory of a keeper's records by flows held."""
     out = []
@@ -248,6 +268,7 @@
         "apply_change_s": (ENDPOINTS, by_view["apply"], TARGET_ENDPOINTS),
         "idle_mean_bytes_per_s": (VMS, by_vms["mean"], TARGET_VMS),
         "idle_max_bytes_per_s": (VMS, by_vms["max"], TARGET_VMS),
+        "in_force_s": (VMS, by_vms["in_force"], TARGET_VMS),
         "idle_cpu_s_per_s": (VMS, by_vms["cpu"], TARGET_VMS),
         "flow_records_bytes": (FLOWS, by_flows, flows_at_keeper),
     }
