Split the node: its store, and its ways to the log

Change: node_store keeps the view and the count of starts, node_control brings proposals and reads to the log.

--- a/ebonytally/daemon.py
+++ b/ebonytally/daemon.py
@@ -23,6 +23,7 @@
 from ebonytally import intent_http
 from ebonytally import live_recorder
 from ebonytally import node as nodes
+from ebonytally import node_store
 from ebonytally import packet_socket
 from ebonytally import peers
 from ebonytally import request_http
@@ -60,7 +61,7 @@
         files = disk_files.FolderDisk(cfg.data_folder)
         stack.callback(files.close)
         disk = disk_threads.ThreadedDisk(files)
-        incarnation = nodes.next_incarnation(disk, self._clock.wall())
+        incarnation = node_store.next_incarnation(disk, self._clock.wall())
         control = control_task.ControlTask(self._control)
         self._node = nodes.Node(
             cfg,
--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -5,8 +5,6 @@
 carry out.
 """
 
-from collections.abc import Callable
-import functools
 from typing import Protocol
 
 import attrs
@@ -14,34 +12,27 @@
 from ebonytally import actions
 from ebonytally import agreement
 from ebonytally import control_state
-from ebonytally import errors
 from ebonytally import flows
 from ebonytally import intents
 from ebonytally import leader_duties
 from ebonytally import members
+from ebonytally import node_control
+from ebonytally import node_store
 from ebonytally import own_mark
 from ebonytally import plan_messages
 from ebonytally import ports
-from ebonytally import proposals
-from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import requests
 from ebonytally import settings
 from ebonytally import spread
-from ebonytally import spread_history
-from ebonytally import spread_messages
 from ebonytally import status
 from ebonytally import upstreams
 from ebonytally import view
 from ebonytally import wire
 
-VIEW_FILE = "view"
-INCARNATION_FILE = "incarnation"
-STORE_EVERY_S = 1.0
 DUTIES_EVERY_S = 0.1
 PROPOSE_AGAIN_S = 1.0
 HAND_OVER_LIMIT_S = 8.0
-_FORWARDED = "forwarded:"
 _MEMBERS = range(1, 10)
 _SPREAD = range(10, 20)
 _PROPOSALS = range(20, 30)
@@ -51,27 +42,6 @@
 _UPSTREAMS = range(400, 500)
 
 
-class ControlRunner(Protocol):
-    """Runs calls that may wait for the disk, one after the other."""
-
-    def run(
-        self,
-        call: Callable[[], list[actions.Action]],
-    ) -> list[actions.Action]:
-        """Run a call now and return its actions, or later and none."""
-
-
-class Inline:
-    """Runs each call at once."""
-
-    def run(
-        self,
-        call: Callable[[], list[actions.Action]],
-    ) -> list[actions.Action]:
-        """Return the actions of the call."""
-        return call()
-
-
 class Router(Protocol):
     """Something that takes messages of other entry VMs."""
 
@@ -92,32 +62,6 @@
     leased: bool
 
 
-def next_incarnation(disk: ports.Disk, wall: float) -> int:
-    """Return a number above that of every earlier start, durably.
-
-    :param wall: seconds since 1970 by this machine's clock
-    """
-    raw = disk.read(INCARNATION_FILE)
-    last = 0
-    if raw is not None and raw.isdigit():
-        last = int(raw)
-    incarnation = max(last + 1, int(wall * 1000))
-    disk.replace(INCARNATION_FILE, str(incarnation).encode())
-    return incarnation
-
-
-def first_view(cfg: settings.Settings, disk: ports.Disk) -> view.View:
-    """Return the stored view, or one that has only the seeds."""
-    raw = disk.read(VIEW_FILE)
-    if raw is not None:
-        try:
-            whole = wire.unpack(raw, spread_messages.WholeView)
-            return spread_history.open_whole(whole)
-        except errors.WireError:
-            disk.remove(VIEW_FILE)
-    return view.View(vms=leader_duties.genesis(cfg).vms)
-
-
 class Node:
     """All decisions of one entry VM."""
 
@@ -129,19 +73,17 @@
         recorder: recorders.Recorder,
         seed: int,
         now: float,
-        control: ControlRunner | None = None,
+        runner: node_control.ControlRunner | None = None,
     ) -> None:
         """Make the slices from the settings and the data folder.
 
-        :param control: runs what may wait for the disk, at once if None
+        :param runner: runs what may wait for the disk, at once if None
         """
         me = cfg.name
-        self._control = control or Inline()
         self.cfg = cfg
         self.incarnation = incarnation
-        self._disk = disk
-        self._recorder = recorder
-        first = first_view(cfg, disk)
+        first = node_store.first_view(cfg, disk)
+        self._store = node_store.ViewStore(disk, first, now)
         self.members = members.Members(
             cfg,
             me,
@@ -165,34 +107,30 @@
             seed,
         )
         self.intents = intents.Intents(cfg, recorder, incarnation)
-        self.proposals = proposals.Proposals(me, incarnation, recorder)
-        self.machine: control_state.Machine | None = None
-        self.agreement: agreement.Agreement | None = None
-        if cfg.control:
-            self._join_agreement(disk, seed)
+        self.control = node_control.Control(
+            cfg,
+            incarnation,
+            disk,
+            recorder,
+            seed,
+            runner or node_control.Inline(),
+        )
         self._view: view.View | None = None
         self._reach = Reach(frozenset(), False)
-        self._stored_revision = first.revision
-        self._stored_config = first.config_revision
-        self._stored_at = now
         self._duties_at = now
         self._proposed_at: dict[object, float] = {}
-        self._proposals_made = 0
         self._stopping = False
         self._hand_over_until = now
 
-    def _join_agreement(self, disk: ports.Disk, seed: int) -> None:
-        self.machine = control_state.Machine()
-        voters = tuple(seed.name for seed in self.cfg.seeds if seed.control)
-        self.agreement = agreement.Agreement(
-            self.cfg,
-            self.cfg.name,
-            voters,
-            disk,
-            self.machine,
-            self._recorder,
-            seed,
-        )
+    @property
+    def machine(self) -> control_state.Machine | None:
+        """Return the state of the log, None where there is no log."""
+        return self.control.machine
+
+    @property
+    def agreement(self) -> agreement.Agreement | None:
+        """Return this VM's part in the log, None if it has none."""
+        return self.control.agreement
 
     @property
     def present(self) -> view.View:
@@ -216,25 +154,14 @@
         if kind in _MEMBERS:
             out = self.members.handle(peer, msg, now)
         elif kind in _PROPOSALS:
-            out = self._proposal(peer, msg, now)
+            out = self.control.forwarded(peer, msg, now)
         elif kind in _AGREEMENT:
-            out = self._agree(peer, msg, now)
+            out = self.control.handle(peer, msg, now)
         else:
             router = self._router(kind)
             out = [] if router is None else router.handle(peer, msg, now)
         return self._settle(out, now)
 
-    def _agree(
-        self,
-        peer: str,
-        msg: object,
-        now: float,
-    ) -> list[actions.Action]:
-        if self.agreement is None:
-            return []
-        handle = self.agreement.handle
-        return self._control.run(functools.partial(handle, peer, msg, now))
-
     def _router(self, kind: int) -> Router | None:
         if kind in _SPREAD:
             return self.spread
@@ -264,19 +191,16 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Do what is due in every slice."""
         out = self.members.tick(now)
-        self._lead(now)
+        self.spread.lead(self.control.term(now), now)
         out += self.spread.tick(now)
-        out += self.proposals.tick(now)
-        if self.agreement is not None:
-            tick = functools.partial(self.agreement.tick, now)
-            out += self._control.run(tick)
+        out += self.control.tick(now)
         out += self.flows.tick(now)
         out += self.upstreams.tick(now)
         out += self.requests.tick(now)
         out += self.intents.tick(now)
         out += self._duties(now)
         out = self._settle(out, now)
-        self._store(now)
+        self._store.tick(self.spread, now)
         return out
 
     def stop(self, now: float) -> list[actions.Action]:
@@ -285,9 +209,7 @@
         self._hand_over_until = now + HAND_OVER_LIMIT_S
         out = self.flows.stop(now)
         out += self.requests.stop(now)
-        if self.agreement is not None:
-            transfer = functools.partial(self.agreement.transfer, now)
-            out += self._control.run(transfer)
+        out += self.control.stop(now)
         return self._settle(out, now)
 
     def idle(self, now: float) -> bool:
@@ -333,18 +255,12 @@
 
     # Inside.
 
-    def _lead(self, now: float) -> None:
-        term = None
-        if self.agreement is not None and self.agreement.may_read(now):
-            term = self.agreement.term
-        self.spread.lead(term, now)
-
     def _duties(self, now: float) -> list[actions.Action]:
         if now < self._duties_at:
             return []
         self._duties_at = now + DUTIES_EVERY_S
         due: list[object] = []
-        if self.agreement is not None and self.agreement.may_read(now):
+        if self.control.may_read(now):
             control = [vm.name for vm in self.machine.view.vms if vm.control]
             self.agreement.want_voters(tuple(control))
             due += leader_duties.due(
@@ -380,22 +296,6 @@
         recent[command] = now
         return True
 
-    def _proposal(
-        self,
-        peer: str,
-        msg: object,
-        now: float,
-    ) -> list[actions.Action]:
-        try:
-            if isinstance(msg, spread_messages.ForwardedEnd):
-                return self.proposals.ended(msg)
-            if self.agreement is None:
-                return []
-            return [self.proposals.taken(peer, msg, now)]
-        except errors.WireError:
-            self._recorder.refused(reasons.Refusal.FRAME_MALFORMED)
-            return []
-
     def _settle(
         self,
         out: list[actions.Action],
@@ -438,48 +338,12 @@
         now: float,
     ) -> list[actions.Action]:
         if isinstance(action.command, control_state.READS):
-            return self._read(action, now)
-        action = self._once(action)
-        if self.agreement is not None:
-            propose = functools.partial(
-                self.agreement.propose,
-                action.token,
-                action.command,
-                now,
-            )
-            return self._control.run(propose)
-        return self.proposals.forward(action, self._control_vm(), now)
-
-    def _read(
-        self,
-        action: actions.Propose,
-        now: float,
-    ) -> list[actions.Action]:
-        """Read from the leader's state, under its lease and not the log."""
-        if self.agreement is not None and self.agreement.may_read(now):
-            result = self.machine.apply(action.command)
-            return [actions.Decided(action.token, True, result)]
-        leader = self.spread.leader
-        if action.token.startswith(_FORWARDED) or leader == self.cfg.name:
-            leader = ""
-        if not leader:
-            reason = reasons.Refusal.NO_LEADER.value
-            return [actions.Decided(action.token, False, None, reason)]
-        return self.proposals.forward(action, leader, now)
-
-    def _once(self, action: actions.Propose) -> actions.Propose:
-        """Give a proposal a token that no other one ever has.
-
-        The log answers a token that it knows without applying anything;
-        only intents, which are resent, bring tokens of their own.
-        """
-        token = action.token
-        if token.startswith(_FORWARDED) or self.intents.owns(token):
-            return action
-        self._proposals_made += 1
-        start = f"{self.cfg.name}.{self.incarnation}"
-        unique = f"{start}.{self._proposals_made}/{token}"
-        return actions.Propose(unique, action.command)
+            return self.control.read(action, self.spread.leader, now)
+        # Only intents, which are resent, bring tokens of their own.
+        lasting = action.token.startswith(node_control.FORWARDED)
+        if not lasting and not self.intents.owns(action.token):
+            action = self.control.once(action)
+        return self.control.propose(action, self._control_vm(), now)
 
     def _control_vm(self) -> str:
         alive = self.members.alive()
@@ -499,8 +363,8 @@
         end: actions.Decided,
         now: float,
     ) -> list[actions.Action]:
-        if end.token.startswith(_FORWARDED):
-            return self.proposals.ended_here(end)
+        if end.token.startswith(node_control.FORWARDED):
+            return self.control.ended(end)
         if self.intents.owns(end.token):
             return self.intents.ended(end, now)
         return []
@@ -510,8 +374,8 @@
         self._take_effects()
         out: list[actions.Action] = []
         if self.present is not self._view:
-            if self.present.config_revision != self._stored_config:
-                self._store_now(now)
+            if self._store.lacks_change(self.present):
+                self._store.save(self.spread, now)
             # The disk may have let other tasks run: take what is newest.
             self._view = self.present
             for part in (
@@ -546,16 +410,3 @@
             self.spread.offer(effect.revision, effect.command)
         if self.machine.view.revision > self.present.revision:
             self.spread.adopt(self.machine.view)
-
-    def _store(self, now: float) -> None:
-        if now - self._stored_at < STORE_EVERY_S:
-            return
-        if self.present.revision != self._stored_revision:
-            self._store_now(now)
-
-    def _store_now(self, now: float) -> None:
-        """Keep the view, so that a restart never reverts a change."""
-        self._stored_at = now
-        self._stored_revision = self.present.revision
-        self._stored_config = self.present.config_revision
-        self._disk.replace(VIEW_FILE, self.spread.stored())
--- a/standins/world.py
+++ b/standins/world.py
@@ -15,6 +15,7 @@
 from ebonytally import actions
 from ebonytally import errors
 from ebonytally import node as nodes
+from ebonytally import node_store
 from ebonytally import recorder as recorders
 from ebonytally import settings
 from ebonytally import upstream_announce
@@ -179,7 +180,7 @@
         """Start a VM's daemon on its data folder."""
         vm = self.vms[name]
         vm.starts += 1
-        incarnation = nodes.next_incarnation(vm.disk, self.wall())
+        incarnation = node_store.next_incarnation(vm.disk, self.wall())
         vm.node = nodes.Node(
             vm.cfg,
             vm.disk,
