--- a/standins/judge.py
+++ b/standins/judge.py
@@ -134,6 +134,8 @@
         flow.delivered.add(report.seq)
         if not flow.first:
             flow.first = report.upstream
+            out = self.centre_of[report.upstream] == self.out_centre
+            flow.given_up = out and not self.back
         elif report.upstream != flow.first and not flow.given_up:
             flow.broken = True
 
