Keep a healthy voter while another has lost its disk

A change of the voter list now waits until a majority of the new list is heard. The test fails without the check.

--- a/ebonytally/agreement_voters.py
+++ b/ebonytally/agreement_voters.py
@@ -50,10 +50,34 @@
             if self._must_leave():
                 self._replication.transfer(now)
             return
+        if not self._can_commit(change, now):
+            return
         voters = messages.VotersSet(state.generation, change)
         state.append_own("", wire.pack_message(voters))
         self._replication.follow_voters(now)
 
+    def _can_commit(
+        self,
+        change: tuple[messages.Voter, ...],
+        now: float,
+    ) -> bool:
+        """Return whether a majority of the new list is heard now.
+
+        Removing a healthy voter while another has lost its disk would
+        leave a list that can decide nothing, for good.
+        """
+        voting = [voter for voter in change if voter.voting]
+        heard = [voter for voter in voting if self._is_heard(voter, now)]
+        return 2 * len(heard) > len(voting)
+
+    def _is_heard(self, voter: messages.Voter, now: float) -> bool:
+        if voter.name == self._state.me:
+            return True
+        progress = self._replication.progress.get(voter.name)
+        if progress is None or progress.match == 0:
+            return False
+        return now - progress.acked_at <= self._state.cfg.election_s
+
     def _next(self, now: float) -> tuple[messages.Voter, ...] | None:
         for find in (self._promoted, self._replaced, self._added):
             change = find(now)
--- a/tests/test_agreement_voters.py
+++ b/tests/test_agreement_voters.py
@@ -55,6 +55,21 @@
     assert cluster.machines["d"].values == cluster.machines["b"].values
 
 
+def test_healthy_voter_stays_while_another_has_lost_its_disk():
+    cluster = fakes.Cluster(NAMES)
+    _fill(cluster, 0, 3)
+    leader = cluster.elect()
+    wiped, healthy = _others(cluster, leader)
+    cluster.start(wiped, disk=fakes.Disk())
+    cluster.run(1.5)
+    wanted = tuple(name for name in NAMES if name != healthy)
+    _want(cluster, wanted)
+    cluster.run(2.0)
+    assert healthy in _voting(cluster.nodes[leader])
+    cluster.run_until(lambda: _voting(cluster.nodes[leader]) == [*wanted])
+    _fill(cluster, 3, 3)
+
+
 def test_removed_vm_comes_back_under_a_leader_that_it_never_knew():
     cluster = fakes.Cluster(NAMES)
     _fill(cluster, 0, 3)
