--- a/standins/judge.py
+++ b/standins/judge.py
@@ -92,7 +92,7 @@
     daemon_rss_max_bytes: int
     control_bytes_per_s_max: float
     fell_over_cold: int
-    slots_exceeded: int
+    over_slots: int
 
 
 @attrs.define
@@ -240,7 +240,7 @@
             daemon_rss_max_bytes=rss,
             control_bytes_per_s_max=round(control, 1),
             fell_over_cold=self.counts["fell"],
-            slots_exceeded=0,
+            over_slots=self.counts["over"],
         )
 
 
@@ -257,6 +257,7 @@
         "false_not_run",
         "cut_requests",
         "fell_over_cold",
+        "over_slots",
     )
     out = [
         f"{name} is {getattr(figures, name)}, must be 0"
--- a/standins/reports.py
+++ b/standins/reports.py
@@ -10,7 +10,7 @@
 class Report:
     """Something that an upstream stand-in saw.
 
-    :param kind: packet, run, done, shed, fell or cold
+    :param kind: packet, run, done, shed, over (its slots) or fell
     :param upstream: name of the stand-in
     :param service: service that it belongs to
     :param flow: number of the flow, of a packet
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -118,7 +118,8 @@
         mark = environ.get("HTTP_CALLER_MARK", "")
         now = time.monotonic()
         if self.running >= self.plan.slots or self.state != "up":
-            self.reporter.send("shed", request=mark)
+            kind = "shed" if self.state != "up" else "over"
+            self.reporter.send(kind, request=mark)
             headers = [("Outcome", "not-run"), ("Content-Length", "0")]
             start_response("503 Service Unavailable", headers)
             return [b""]
