Find a peer's address without a search, drop what nothing reads

Cause: a read-through of the whole change. The daemon looked through all entry VMs for each frame sent and received; a scenario VM had a list that nothing filled; callers of flows took a delay that nothing used; the largest gRPC message stood beside the largest frame as a number of its own. Behaviour is the same.

--- a/ebonytally/daemon.py
+++ b/ebonytally/daemon.py
@@ -29,6 +29,7 @@
 from ebonytally import request_http
 from ebonytally import settings
 from ebonytally import system_clock
+from ebonytally import view
 
 TICK_S = 0.05
 STOP_LIMIT_S = 150.0
@@ -55,6 +56,8 @@
         self._cfg = cfg
         self._stop = gevent_event.Event()
         self._stopping = False
+        self._vms: tuple[view.Vm, ...] = ()
+        self._addresses: dict[str, str] = {}
         folder_lock.hold(stack, cfg.data_folder)
         self._clock = system_clock.SystemClock()
         self._recorder = live_recorder.LiveRecorder(cfg, stack)
@@ -214,10 +217,12 @@
     # What goes out.
 
     def _address_of(self, name: str) -> str | None:
-        for vm in self._node.present.vms:
-            if vm.name == name:
-                return vm.address
-        return None
+        # Asked for each frame: looking through all VMs would be slow.
+        vms = self._node.present.vms
+        if vms is not self._vms:
+            self._vms = vms
+            self._addresses = {vm.name: vm.address for vm in vms}
+        return self._addresses.get(name)
 
     def _perform(self, out: list[actions.Action]) -> None:
         for action in out:
--- a/ebonytally/grpc_bridge.py
+++ b/ebonytally/grpc_bridge.py
@@ -14,17 +14,19 @@
 import gevent
 import grpc
 
+from ebonytally import wire
+
 METHOD = "/ebonytally.Peer/Deliver"
 SERVER_THREADS = 4
-MAX_FRAME_BYTES = 4 * 1024 * 1024 + 1024
+MAX_CALL_BYTES = wire.MAX_FRAME_BYTES + 1024
 CALL_TIMEOUT_S = 2.0
 MAX_IN_FLIGHT = 256
 SILENT_CALLS = 2
 MAX_INBOX = 4096
 
 _OPTIONS = (
-    ("grpc.max_receive_message_length", MAX_FRAME_BYTES),
-    ("grpc.max_send_message_length", MAX_FRAME_BYTES),
+    ("grpc.max_receive_message_length", MAX_CALL_BYTES),
+    ("grpc.max_send_message_length", MAX_CALL_BYTES),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -69,16 +69,11 @@
         services: list[Service],
         judge: judges.Judge,
         seed: int,
-        delay_s: float,
     ) -> None:
-        """Make no flow yet.
-
-        :param delay_s: one-way delay between a caller and the fabric
-        """
+        """Make no flow yet."""
         self._services = services
         self._judge = judge
         self._random = random.Random(seed)
-        self._delay_s = delay_s
         self._next = 1
         self._live: list[judges.Flow] = []
         self.fabric: Fabric | None = None
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -74,7 +74,6 @@
             self._services,
             self._judge,
             args.seed + 1,
-            customer.caller_s,
         )
         self._requests = callers.RequestCallers(
             self._services,
--- a/standins/world.py
+++ b/standins/world.py
@@ -54,7 +54,6 @@
     frozen_until: float = 0.0
     revision: int = 0
     config_revision: int = 0
-    waiting: list[Callable[[], None]] = attrs.field(factory=list)
 
 
 class World:
@@ -203,7 +202,6 @@
         """End a VM at once; what wasn't synced is lost."""
         vm = self.vms[name]
         vm.node = None
-        vm.waiting = []
         vm.disk.crash()
         self.requests.lost_vm(name)
         self.note(f"lose {name}")
--- a/standins/world_requests.py
+++ b/standins/world_requests.py
@@ -56,7 +56,6 @@
             self._services(),
             world.judge,
             world.seed + 5,
-            0.0,
         )
         self.flow_callers.fabric = self
         self.outcomes: list[tuple[float, str]] = []
