--- a/ebonytally/agreement.py
+++ b/ebonytally/agreement.py
@@ -14,6 +14,7 @@
 from ebonytally import agreement_election
 from ebonytally import agreement_messages as messages
 from ebonytally import agreement_proposals
+from ebonytally import agreement_reads
 from ebonytally import agreement_replication
 from ebonytally import agreement_snapshot
 from ebonytally import agreement_state
@@ -42,6 +43,7 @@
         machine: ports.StateMachine,
         recorder: recorder_lib.Recorder,
         seed: int,
+        contacts: tuple[str, ...] = (),
     ) -> None:
         """Open the data folder and bring the machine up to date.
 
@@ -49,6 +51,8 @@
             at all of them; later lists are in the log
         :param seed: for timeouts and the id of a new data folder; it
             must differ at each start
+        :param contacts: control VMs that may know of a voter list when
+            this VM has none and is not to form the first one
         :raises DamagedLogError: when the data folder needs a repair
         :raises StorageError: when the disk refuses
         """
@@ -60,6 +64,7 @@
             me=me,
             control=cfg.control,
             genesis=tuple(sorted(voters)),
+            contacts=contacts,
             storage=storage,
             machine=machine,
             recorder=recorder,
@@ -78,6 +83,7 @@
             self._state,
             self._applier,
         )
+        self._reads = agreement_reads.Reads(self._state, self._replication)
         self._changes = agreement_voters.VoterChanges(
             self._state,
             self._replication,
@@ -129,10 +135,45 @@
         """Return whether the voters were formed anew without this VM."""
         return self._state.storage.vote.superseded
 
+    def in_touch(self, now: float, within_s: float) -> bool:
+        """Return whether this VM leads, or heard the leader lately."""
+        if self._state.is_leader:
+            return True
+        return now - self._state.leader_heard_at <= within_s
+
     def may_read(self, now: float) -> bool:
         """Return whether the machine's state is the newest there is."""
         return self._replication.may_read(now)
 
+    def read(self, token: str, now: float) -> list[actions.Action]:
+        """Confirm that the machine's state is no older than this call.
+
+        A majority must still follow this leader after the call. Unlike
+        `may_read` this holds for a VM that was suspended, whose steady
+        clock didn't count the time.
+
+        :returns: actions; the end comes as `actions.Decided`, now or
+            later
+        """
+        self._guard(lambda: self._read(token, now), now)
+        return self._take()
+
+    def _read(self, token: str, now: float) -> None:
+        self._reads.begin(token, now)
+        self._advance(now)
+
+    def contact(self, names: tuple[str, ...]) -> None:
+        """Set the control VMs to turn to without a voter list."""
+        self._state.contacts = names
+
+    def control_vms(self, now: float, within_s: float) -> tuple[str, ...]:
+        """Return the control VMs heard lately, without this one."""
+        return tuple(
+            name
+            for name, heard in sorted(self._state.identities.items())
+            if name != self._state.me and now - max(heard.values()) <= within_s
+        )
+
     def want_voters(self, names: tuple[str, ...]) -> None:
         """Set the control VMs that there should be; the leader acts.
 
@@ -232,6 +273,7 @@
         if self._state.is_leader:
             self._replication.flush(now)
         self._proposals.settled(self._applier.apply())
+        self._reads.advance(now)
 
     def _handle(self, peer: str, msg: object, now: float) -> None:
         identity = getattr(msg, "identity", "")
--- a/ebonytally/agreement_election.py
+++ b/ebonytally/agreement_election.py
@@ -112,10 +112,11 @@
     def _say_hello(self) -> None:
         if not self._state.control:
             return
-        hello = messages.Hello(self._state.identity)
-        names = set(self._state.genesis) | set(self._state.peers)
-        for peer in sorted(names - {self._state.me}):
-            self._state.send(peer, hello)
+        state = self._state
+        hello = messages.Hello(state.identity)
+        names = {*state.genesis, *state.contacts, *state.peers}
+        for peer in sorted(names - {state.me}):
+            state.send(peer, hello)
 
     def _ask(self, pre: bool, transfer: bool) -> bool:
         state = self._state
--- /dev/null
+++ b/ebonytally/agreement_reads.py
@@ -0,0 +1,86 @@
+"""Reads of the leader's state, each confirmed by a majority."""
+
+import attrs
+
+from ebonytally import actions
+from ebonytally import agreement_replication
+from ebonytally import agreement_state
+from ebonytally import reasons
+
+# A caller moves on after a second without an answer.
+DEADLINE_S = 0.8
+# Confirming messages may be lost; they are sent again after this.
+AGAIN_S = 0.1
+MAX_WAITING = 256
+
+
+@attrs.define
+class _Read:
+    """A read that waits for its confirmation.
+
+    :param barrier: only answers to later messages count
+    :param index: entries up to here must have been applied
+    :param until: seconds, when it is given up
+    """
+
+    barrier: float
+    index: int
+    until: float
+
+
+class Reads:
+    """Confirms reads by a round to a majority, without any clock."""
+
+    def __init__(
+        self,
+        state: agreement_state.State,
+        replication: agreement_replication.Replication,
+    ) -> None:
+        """Start without any."""
+        self._state = state
+        self._replication = replication
+        self._waiting: dict[str, _Read] = {}
+        self._sent_at = 0.0
+
+    def begin(self, token: str, now: float) -> None:
+        """Begin a read; its end is an `actions.Decided`."""
+        if not self._state.is_leader or not self._replication.settled:
+            self._refuse(token, reasons.Refusal.NOT_LEADER)
+            return
+        if len(self._waiting) >= MAX_WAITING:
+            self._refuse(token, reasons.Refusal.PROPOSAL_QUEUE_FULL)
+            return
+        barrier = self._replication.barrier(now)
+        self._sent_at = now
+        until = now + DEADLINE_S
+        self._waiting[token] = _Read(barrier, self._state.commit, until)
+
+    def advance(self, now: float) -> None:
+        """End the reads that are confirmed, or can't be any more."""
+        if not self._waiting:
+            return
+        for token, read in list(self._waiting.items()):
+            if not self._state.is_leader:
+                self._end(token, reasons.Refusal.NOT_LEADER)
+            elif self._confirmed(read):
+                del self._waiting[token]
+                self._state.out.append(actions.Decided(token, True))
+            elif now >= read.until:
+                self._end(token, reasons.Refusal.NO_LEADER)
+        if self._waiting and now - self._sent_at >= AGAIN_S:
+            self._sent_at = now
+            self._replication.barrier(now)
+
+    def _confirmed(self, read: _Read) -> bool:
+        if self._state.applied < read.index:
+            return False
+        return self._replication.passed(read.barrier)
+
+    def _end(self, token: str, reason: reasons.Refusal) -> None:
+        del self._waiting[token]
+        self._refuse(token, reason)
+
+    def _refuse(self, token: str, reason: reasons.Refusal) -> None:
+        self._state.refuse(reason)
+        refused = actions.Decided(token, False, None, reason.value)
+        self._state.out.append(refused)
--- a/ebonytally/agreement_replication.py
+++ b/ebonytally/agreement_replication.py
@@ -1,5 +1,7 @@
 """Replication: appends to followers, commit, the leader's lease."""
 
+import math
+
 import attrs
 
 from ebonytally import agreement_messages as messages
@@ -27,7 +29,9 @@
     :param match: highest index known to be on the peer's disk
     :param in_flight: appends with entries that are not answered
     :param sent_at: seconds, when something was last sent
-    :param acked_at: seconds, when the last answered message was sent
+    :param acked_at: seconds, when the last answered message was sent,
+        or when this began
+    :param answered: stamp of the newest message that was answered
     :param budget: bytes that may be sent now
     :param filled_at: seconds, when the budget last grew
     :param snapshot: index of the snapshot being sent, 0 for none
@@ -42,6 +46,7 @@
     acked_at: float
     budget: float
     filled_at: float
+    answered: float = 0.0
     match: int = 0
     in_flight: int = 0
     snapshot: int = 0
@@ -58,6 +63,7 @@
         self._state = state
         self.progress: dict[str, Progress] = {}
         self._first_own = 0
+        self._stamped = 0.0
         self._heartbeat_s = HEARTBEAT_SHARE * state.cfg.election_s
 
     def lead(
@@ -139,6 +145,25 @@
         lease = LEASE_SHARE * state.cfg.election_s
         return now < self._quorum_acked_at(now) + lease
 
+    def barrier(self, now: float) -> float:
+        """Send to all and return a stamp older than these messages."""
+        self._stamped = stamp = max(self._stamped, now)
+        for peer, progress in self.progress.items():
+            self._send(peer, progress, (), now)
+        return stamp
+
+    def passed(self, barrier: float) -> bool:
+        """Return whether a quorum answered something sent after it."""
+        if not self._state.is_leader:
+            return False
+        state = self._state
+        answered = {
+            name
+            for name, progress in self.progress.items()
+            if progress.answered > barrier
+        }
+        return state.is_quorum(answered | {state.me})
+
     @property
     def settled(self) -> bool:
         """Return whether an entry of the leader's own term committed."""
@@ -198,6 +223,7 @@
         if progress is None or msg.identity != progress.identity:
             return
         progress.acked_at = max(progress.acked_at, msg.sent_at)
+        progress.answered = max(progress.answered, msg.sent_at)
         if msg.ok:
             self._matched(progress, msg.match)
         elif not progress.snapshot and msg.term == state.term:
@@ -302,6 +328,8 @@
         if prev_term is None:
             prev = state.storage.snapshot.index
             prev_term = state.storage.snapshot.term
+        # Stamps differ, so that an answer names one message for sure.
+        self._stamped = max(now, math.nextafter(self._stamped, math.inf))
         request = messages.AppendRequest(
             state.generation,
             state.term,
@@ -309,7 +337,7 @@
             prev_term,
             entries,
             state.commit,
-            now,
+            self._stamped,
         )
         state.send(peer, request)
         progress.sent_at = now
--- a/ebonytally/agreement_state.py
+++ b/ebonytally/agreement_state.py
@@ -33,6 +33,7 @@
 
     :param control: this VM is to have a vote
     :param genesis: names that form the first voter list
+    :param contacts: control VMs to make oneself known to without a list
     :param voter_sets: voter lists in the log, with their indexes
     :param leader_heard_at: seconds, when a leader was last heard
     :param identities: data folder ids by VM, with when they were heard
@@ -44,6 +45,7 @@
     me: str
     control: bool
     genesis: tuple[str, ...]
+    contacts: tuple[str, ...]
     storage: log_storage.LogStorage
     machine: ports.StateMachine
     recorder: recorder_lib.Recorder
@@ -137,7 +139,7 @@
         VM whose disk was lost can't help to form a second one.
         """
         if self.voters is None:
-            return names.issuperset(self.genesis)
+            return bool(self.genesis) and names.issuperset(self.genesis)
         voting = self.voting
         return 2 * len(names & voting.keys()) > len(voting)
 
--- a/ebonytally/agreement_voters.py
+++ b/ebonytally/agreement_voters.py
@@ -7,9 +7,6 @@
 from ebonytally import agreement_state
 from ebonytally import wire
 
-# A VM that runs with another data folder has lost the one that the
-# list names, once that was not heard for this long.
-REPLACED_AFTER_S = 5.0
 CAUGHT_UP_ENTRIES = 16
 
 
@@ -115,17 +112,18 @@
 
     def _fresh_identity(self, name: str, now: float) -> str:
         """Return the id of a VM that runs with another data folder."""
-        if now - self._led_since < REPLACED_AFTER_S:
+        after = self._state.cfg.replaced_after_s
+        if now - self._led_since < after:
             return ""
         heard = self._state.identities.get(name, {})
         known = self._state.identity_of(name)
         silent = now - heard.get(known, self._led_since)
-        if silent < REPLACED_AFTER_S:
+        if silent < after:
             return ""
         recent = {
             identity: at
             for identity, at in heard.items()
-            if identity != known and now - at < REPLACED_AFTER_S
+            if identity != known and now - at < after
         }
         return max(recent, key=recent.get, default="")
 
--- /dev/null
+++ b/ebonytally/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Whole configurations: the highest version is in force."""
--- /dev/null
+++ b/ebonytally/echo/__init__.py
@@ -0,0 +1,1 @@
+"""Flows whose packets carry a cookie that names their upstream."""
--- /dev/null
+++ b/ebonytally/feed/__init__.py
@@ -0,0 +1,1 @@
+"""How entry VMs follow the configuration and the register."""
--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -11,6 +11,7 @@
 
 from ebonytally import actions
 from ebonytally import agreement
+from ebonytally import control_runner
 from ebonytally import control_state
 from ebonytally import flows
 from ebonytally import intents
@@ -73,7 +74,7 @@
         recorder: recorders.Recorder,
         seed: int,
         now: float,
-        runner: node_control.ControlRunner | None = None,
+        runner: control_runner.ControlRunner | None = None,
     ) -> None:
         """Make the slices from the settings and the data folder.
 
@@ -113,7 +114,7 @@
             disk,
             recorder,
             seed,
-            runner or node_control.Inline(),
+            runner or control_runner.Inline(),
         )
         self._view: view.View | None = None
         self._reach = Reach(frozenset(), False)
--- a/ebonytally/node_control.py
+++ b/ebonytally/node_control.py
@@ -1,11 +1,10 @@
 """A node's ways to the replicated log: its own, or another VM's."""
 
-from collections.abc import Callable
 import functools
-from typing import Protocol
 
 from ebonytally import actions
 from ebonytally import agreement
+from ebonytally import control_runner
 from ebonytally import control_state
 from ebonytally import errors
 from ebonytally import ports
@@ -17,23 +16,6 @@
 
 FORWARDED = "forwarded:"
 
-Call = Callable[[], list[actions.Action]]
-
-
-class ControlRunner(Protocol):
-    """Runs calls that may wait for the disk, one after the other."""
-
-    def run(self, call: Call) -> list[actions.Action]:
-        """Run a call now and return its actions, or later and none."""
-
-
-class Inline:
-    """Runs each call at once."""
-
-    def run(self, call: Call) -> list[actions.Action]:
-        """Return the actions of the call."""
-        return call()
-
 
 class Control:
     """The log of a control VM, and proposals of any VM.
@@ -48,7 +30,7 @@
         disk: ports.Disk,
         recorder: recorders.Recorder,
         seed: int,
-        runner: ControlRunner,
+        runner: control_runner.ControlRunner,
     ) -> None:
         """Open the log if this is a control VM.
 
--- a/ebonytally/peers.py
+++ b/ebonytally/peers.py
@@ -9,19 +9,14 @@
 from collections.abc import Callable
 import contextlib
 
-import gevent
-from gevent import socket
-
-from ebonytally import events
 from ebonytally import grpc_bridge
+from ebonytally import peer_datagrams
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import settings
 from ebonytally import wire
 
 SMALL_BYTES = 1200
-RECEIVE_BYTES = 65536
-BATCH = 64
 # IPv4 and UDP headers, and gRPC's HTTP/2 frames, headers and TCP/IP.
 DATAGRAM_OVERHEAD_BYTES = 28
 GRPC_OVERHEAD_BYTES = 250
@@ -44,19 +39,20 @@
 
         :param address_of: IPv4 address of an entry VM, None if unknown
         """
-        self._cfg = cfg
-        self._take = take
+        self._ports = cfg.ports
         self._address_of = address_of
         self._recorder = recorder
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        stack.callback(self._socket.close)
-        self._socket.bind((cfg.address, cfg.ports.peers))
-        task = gevent.spawn(self._receive)
-        stack.callback(task.kill)
+        self._datagrams = peer_datagrams.Datagrams(
+            cfg,
+            stack,
+            take,
+            lambda peer: address_of(peer) is not None,
+            recorder,
+        )
         grpc_bridge.serve(
             stack,
             f"{cfg.address}:{cfg.ports.control}",
-            self._frame,
+            self._datagrams.frame,
         )
         self._client = grpc_bridge.Client(stack, self._failed)
 
@@ -66,14 +62,14 @@
         if address is None:
             self._recorder.refused(reasons.Refusal.FRAME_UNKNOWN_PEER)
             return
-        frame = wire.encode(self._cfg.key, self._cfg.name, msg)
+        frame = self._datagrams.encode(msg)
         kind = wire.kind_of(msg)
         if self._is_datagram(kind, len(frame)):
             size = len(frame) + DATAGRAM_OVERHEAD_BYTES
-            self._send_datagram(address, frame)
+            self._datagrams.send(address, frame)
         else:
             size = len(frame) + GRPC_OVERHEAD_BYTES
-            self._client.send(f"{address}:{self._cfg.ports.control}", frame)
+            self._client.send(f"{address}:{self._ports.control}", frame)
         name = "control_bytes_sent"
         if kind in _FLOW_KINDS:
             name = "flow_bytes_sent"
@@ -87,46 +83,5 @@
             return size <= wire.MAX_DATAGRAM_BYTES
         return size <= SMALL_BYTES
 
-    def _send_datagram(self, address: str, frame: bytes) -> None:
-        try:
-            self._socket.sendto(frame, (address, self._cfg.ports.peers))
-        except OSError:
-            self._recorder.retried(reasons.Retry.PEER_SEND_FAILED)
-
-    def _receive(self) -> None:
-        handled = 0
-        while True:
-            frame, source = self._socket.recvfrom(RECEIVE_BYTES)
-            self._frame(frame, source[0])
-            handled += 1
-            if handled % BATCH == 0:
-                gevent.sleep(0)
-
-    def _frame(self, frame: bytes, source: str = "") -> None:
-        try:
-            peer, msg = wire.decode(self._cfg.key, frame)
-        except wire.FrameError as exc:
-            self._refused(exc.reason, source, exc.detail)
-            return
-        if self._address_of(peer) is None:
-            reason = reasons.Refusal.FRAME_UNKNOWN_PEER
-            self._refused(reason, source, peer)
-            return
-        self._take(peer, msg)
-
-    def _refused(
-        self,
-        reason: reasons.Refusal,
-        source: str,
-        detail: str,
-    ) -> None:
-        self._recorder.refused(reason)
-        self._recorder.event(
-            events.Event.FRAME_REFUSED,
-            reason=reason.value,
-            peer=source,
-            detail=detail[:200],
-        )
-
     def _failed(self, address: str) -> None:
         self._recorder.retried(reasons.Retry.PEER_SEND_FAILED)
--- /dev/null
+++ b/ebonytally/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/ebonytally/platform/node_settings.py
@@ -0,0 +1,150 @@
+"""Settings file of the platform, as the product's deployment."""
+
+import hashlib
+import os
+import tomllib
+
+import attrs
+
+from ebonytally import deployment
+from ebonytally import settings
+from ebonytally.platform import decode
+
+VARIABLE = "EBONYTALLY_CONFIG"
+METRICS_PORT = 9464
+# The platform tells no secret: the tag only finds damaged frames.
+_FRAME_KEY = hashlib.sha256(b"ebonytally frames").hexdigest()
+_STEP = "read settings"
+# A control VM's link carries 20 MB/s and more; a quarter of it for one
+# voter that catches up.
+_CATCH_UP_BYTES_S = 4 * 1024 * 1024
+# A VM has one process: a fresh data folder at its address means that the
+# old one is lost.
+_REPLACED_AFTER_S = 1.0
+_SNAPSHOT_ENTRIES = 40
+
+
+@attrs.frozen
+class _BindAddrs:
+    """What the role serves.
+
+    :param ready: where the fabric asks for readiness
+    :param control: where upstreams and operators call
+    """
+
+    datagram_addr: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+@attrs.frozen
+class _Bounds:
+    grace_s: float = 6.0
+    flow_ttl_s: float = 60.0
+    cold_slack: float = 5.0
+
+
+@attrs.frozen
+class _File:
+    """The file's fields that are used.
+
+    :param bootstrap: the whole system starts for the first time
+    :param heartbeat_ms: gap of the upstreams' announcements
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    serves: list[str]
+    internal_port_range: list[int]
+    seeds: list[str]
+    bind_addrs: _BindAddrs
+    region: str = ""
+    bootstrap: bool = False
+    data_dir: str = ""
+    heartbeat_ms: float = 1000.0
+    zones: dict[str, str] = attrs.field(factory=dict)
+    bounds: _Bounds = attrs.field(factory=_Bounds)
+
+
+def path() -> str:
+    """Return where the settings file is."""
+    return os.environ.get(VARIABLE, "/etc/ebonytally/node.toml")
+
+
+def load() -> deployment.Deployment:
+    """Read the settings file.
+
+    :raises DecodeError: when it can't be read
+    """
+    try:
+        with open(path(), "rb") as file:
+            raw = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise decode.DecodeError(_STEP, path(), str(exc)) from exc
+    return read(raw)
+
+
+def read(raw: dict) -> deployment.Deployment:
+    """Return the deployment that a settings file describes.
+
+    :raises DecodeError: when a field is missing or of another type
+    """
+    file = decode.structure(raw, _File, _STEP)
+    if len(file.internal_port_range) != 2:
+        raise decode.DecodeError(_STEP, "internal-port-range", "no range")
+    role = deployment.Role.CONTROL
+    if "front" in file.serves:
+        role = deployment.Role.ENTRY
+    seeds = tuple(
+        decode.endpoint(seed, _STEP)[0] for seed in sorted(file.seeds)
+    )
+    bind = file.bind_addrs
+    return deployment.Deployment(
+        name=file.node_name,
+        role=role,
+        cfg=_slice_settings(file, role),
+        seeds=seeds,
+        first_start=file.bootstrap,
+        data_centres=frozenset(file.zones),
+        packets=_endpoint(bind.datagram_addr),
+        readiness=_endpoint(bind.ready),
+        orders=_endpoint(bind.control),
+        announce_s=file.heartbeat_ms / 1000,
+        flow_ttl_s=file.bounds.flow_ttl_s,
+        cold_slack=file.bounds.cold_slack,
+        stop_s=file.bounds.grace_s / 2,
+    )
+
+
+def _endpoint(text: str) -> deployment.Endpoint | None:
+    if not text:
+        return None
+    return deployment.Endpoint(*decode.endpoint(text, _STEP))
+
+
+def _slice_settings(
+    file: _File,
+    role: deployment.Role,
+) -> settings.Settings:
+    first = file.internal_port_range[0]
+    return settings.Settings(
+        name=file.ip,
+        address=file.ip,
+        data_centre=file.zone,
+        region=file.region,
+        cluster_key=_FRAME_KEY,
+        data_folder=file.data_dir,
+        seeds=(),
+        control=role == deployment.Role.CONTROL,
+        ports=settings.Ports(
+            peers=first,
+            control=first + 1,
+            metrics=METRICS_PORT,
+        ),
+        limits=settings.Control(
+            catch_up_bytes_s=_CATCH_UP_BYTES_S,
+            replaced_after_s=_REPLACED_AFTER_S,
+            snapshot_entries=_SNAPSHOT_ENTRIES,
+        ),
+    )
--- /dev/null
+++ b/ebonytally/register/__init__.py
@@ -0,0 +1,1 @@
+"""The register of upstreams: what they announced, newest first."""
--- a/ebonytally/settings.py
+++ b/ebonytally/settings.py
@@ -127,6 +127,8 @@
     :param snapshot_entries: entries after which the log is compacted
     :param suspect_s: silence after which a VM is suspected
     :param catch_up_bytes_s: log and snapshot bytes for one voter
+    :param replaced_after_s: a VM that runs with another data folder has
+        lost the listed one, once that was silent for so long
     """
 
     heartbeat_s: float = 0.4
@@ -136,6 +138,7 @@
     snapshot_entries: int = 1000
     suspect_s: float = 1.5
     catch_up_bytes_s: int = 32 * 1024
+    replaced_after_s: float = 5.0
 
 
 @attrs.frozen
