--- a/ebonytally/configuration/machine.py
+++ b/ebonytally/configuration/machine.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from ebonytally import wire
 from ebonytally.configuration import model
+from ebonytally import wire
 
 
 @wire.message(601)
--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -5,14 +5,14 @@
 
 from ebonytally import actions
 from ebonytally import agreement
+from ebonytally.configuration import machine as machines
 from ebonytally import control_runner
 from ebonytally import deployment as deployments
 from ebonytally import entry_node
-from ebonytally import ports
-from ebonytally import recorder as recorders
-from ebonytally.configuration import machine as machines
 from ebonytally.feed import messages as feed_messages
 from ebonytally.feed import source
+from ebonytally import ports
+from ebonytally import recorder as recorders
 from ebonytally.register import exchange
 from ebonytally.register import records
 from ebonytally.register import register as registers
--- a/ebonytally/control_role.py
+++ b/ebonytally/control_role.py
@@ -12,10 +12,10 @@
 from ebonytally import live_recorder
 from ebonytally import orders
 from ebonytally import peers
+from ebonytally.register import records
 from ebonytally import roles
 from ebonytally import system_clock
 from ebonytally import wire
-from ebonytally.register import records
 
 OpenOrders = Callable[
     [
--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -13,12 +13,12 @@
 import attrs
 import xxhash
 
-from ebonytally import events
-from ebonytally import recorder as recorders
 from ebonytally.configuration import model
 from ebonytally.echo import packets
 from ebonytally.echo import placing as placings
+from ebonytally import events
 from ebonytally.feed import follower as followers
+from ebonytally import recorder as recorders
 from ebonytally.register import records
 from ebonytally.register import register as registers
 
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -2,11 +2,11 @@
 
 from ebonytally import actions
 from ebonytally import deployment as deployments
-from ebonytally import recorder as recorders
 from ebonytally.echo import forwarder
 from ebonytally.echo import packets
 from ebonytally.echo import placing
 from ebonytally.feed import follower
+from ebonytally import recorder as recorders
 from ebonytally.register import register as registers
 
 # Announcements may be late by a good part of their gap; two in a row are
--- a/ebonytally/entry_role.py
+++ b/ebonytally/entry_role.py
@@ -5,14 +5,14 @@
 from typing import Protocol
 
 from ebonytally import deployment as deployments
+from ebonytally.echo import forwarder
+from ebonytally.echo import packets
 from ebonytally import entry_node
 from ebonytally import events
 from ebonytally import live_recorder
 from ebonytally import peer_datagrams
 from ebonytally import roles
 from ebonytally import system_clock
-from ebonytally.echo import forwarder
-from ebonytally.echo import packets
 
 
 class PacketPort(Protocol):
--- a/ebonytally/feed/changes.py
+++ b/ebonytally/feed/changes.py
@@ -4,9 +4,9 @@
 
 import attrs
 
+from ebonytally.configuration import model
 from ebonytally import errors
 from ebonytally import wire
-from ebonytally.configuration import model
 
 
 @attrs.frozen
--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -3,11 +3,11 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import events
-from ebonytally import recorder as recorders
 from ebonytally.configuration import model
+from ebonytally import events
 from ebonytally.feed import changes
 from ebonytally.feed import messages
+from ebonytally import recorder as recorders
 from ebonytally.register import register as registers
 
 # A drained upstream, a change or an evacuation must be known here within
--- a/ebonytally/feed/messages.py
+++ b/ebonytally/feed/messages.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from ebonytally import wire
 from ebonytally.register import records
+from ebonytally import wire
 
 
 @wire.message(640)
--- a/ebonytally/orders.py
+++ b/ebonytally/orders.py
@@ -8,13 +8,13 @@
 from gevent import event as gevent_event
 
 from ebonytally import actions
+from ebonytally.configuration import checks
+from ebonytally.configuration import machine as machines
+from ebonytally.configuration import model
 from ebonytally import control_node
 from ebonytally import events
 from ebonytally import ports
 from ebonytally import recorder as recorders
-from ebonytally.configuration import checks
-from ebonytally.configuration import machine as machines
-from ebonytally.configuration import model
 
 # Whoever gave the order moves on after a second.
 ANSWER_S = 0.9
--- a/ebonytally/platform/__main__.py
+++ b/ebonytally/platform/__main__.py
@@ -5,8 +5,8 @@
 
 from ebonytally import deployment
 from ebonytally import errors
-from ebonytally import roles
 from ebonytally.platform import node_settings
+from ebonytally import roles
 
 
 def main() -> int:
--- a/ebonytally/platform/node_settings.py
+++ b/ebonytally/platform/node_settings.py
@@ -7,8 +7,8 @@
 import attrs
 
 from ebonytally import deployment
-from ebonytally import settings
 from ebonytally.platform import decode
+from ebonytally import settings
 
 VARIABLE = "EBONYTALLY_CONFIG"
 METRICS_PORT = 9464
--- a/ebonytally/platform/packet_port.py
+++ b/ebonytally/platform/packet_port.py
@@ -7,12 +7,12 @@
 from gevent import socket
 
 from ebonytally import deployment
-from ebonytally import events
-from ebonytally import reasons
-from ebonytally import recorder as recorders
 from ebonytally.echo import forwarder
 from ebonytally.echo import packets
+from ebonytally import events
 from ebonytally.platform import packet_wire
+from ebonytally import reasons
+from ebonytally import recorder as recorders
 
 RECEIVE_BYTES = 2048
 # Datagrams that aren't read in time are dropped.
