--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -358,7 +358,7 @@
 def cookie_of(record: records.Record) -> int:
     """Return the cookie of an upstream, 1 to 2**32 - 1."""
     text = f"{record.id} {record.address}:{record.port}"
-    return xxhash.xxh32_intdigest(text) or 1
+    return xxhash.xxh32_intdigest(text.encode()) or 1
 
 
 def place_of(route: model.Route) -> bytes:
--- a/ebonytally/live_recorder.py
+++ b/ebonytally/live_recorder.py
@@ -15,6 +15,11 @@
 _LIMITED = (
     events.Event.FRAME_REFUSED,
     events.Event.PACKET_REFUSED,
+    events.Event.FLOW_REFUSED,
+    events.Event.FLOW_RESET,
+    events.Event.COOKIE_UNKNOWN,
+    events.Event.UPSTREAM_SILENT,
+    events.Event.TASK_FAILED,
     events.Event.REQUEST_REFUSED,
     events.Event.ANNOUNCEMENT_REFUSED,
     events.Event.TOKEN_REFUSED,
--- a/ebonytally/register/register.py
+++ b/ebonytally/register/register.py
@@ -83,7 +83,7 @@
                     key=lambda record: record.id,
                 )
             )
-            self._digest = xxhash.xxh3_64_intdigest(text)
+            self._digest = xxhash.xxh3_64_intdigest(text.encode())
         return self._digest
 
     def changed_since(self, revision: int) -> list[Entry]:
