--- /dev/null
+++ b/tests/echo_bed.py
@@ -0,0 +1,160 @@
+"""Entry VMs and their control VMs, wired without sockets."""
+
+import attrs
+
+from ebonytally import actions
+from ebonytally import recorder as recorders
+from ebonytally.configuration import machine as machines
+from ebonytally.configuration import model
+from ebonytally.echo import forwarder
+from ebonytally.echo import packets
+from ebonytally.echo import placing
+from ebonytally.feed import follower
+from ebonytally.feed import messages
+from ebonytally.feed import source
+from ebonytally.register import records
+from ebonytally.register import register as registers
+
+LIMITS = registers.Limits(silent_s=3.0, keep_s=60.0)
+ROUTE = model.Route(
+    "r-1",
+    "198.18.0.1",
+    443,
+    (model.Target("desk", 1),),
+    True,
+    2.5,
+    0.15,
+    2,
+)
+SERVICES = (
+    model.Service("desk", 2000, 2.0, 0.0),
+    model.Service("store", 2000, 2.0, 0.0),
+)
+CONTENT = model.Content((ROUTE,), SERVICES, 15.0)
+PLACE = forwarder.place_of(ROUTE)
+
+
+def announcement(number, **change):
+    """Return what upstream `number` says of itself."""
+    said = records.Announcement(
+        id=f"i-{number:08x}",
+        born_ms=1000,
+        sequence=1,
+        service="desk",
+        address=f"10.128.0.{number}",
+        port=8080,
+        data_centre="north",
+        slots=2,
+        draining=False,
+        cold_for_s=0.0,
+    )
+    return attrs.evolve(said, **change)
+
+
+def packet(caller, opening=False, cookie=0, **change):
+    """Return a packet of a caller's flow."""
+    key = caller.to_bytes(6, "big") + PLACE
+    fresh = packets.Packet(key, PLACE, opening, False, cookie, 0, 0, b"raw")
+    return attrs.evolve(fresh, **change)
+
+
+class ControlVm:
+    """What an entry VM sees of a control VM."""
+
+    def __init__(self, name, start=1):
+        self.name = name
+        self.register = registers.Register(
+            name,
+            LIMITS,
+            recorders.MemoryRecorder(),
+        )
+        self.machine = machines.Machine()
+        self.source = source.Source(name, start, self.register, self.machine)
+        self.in_touch = True
+        self.names = (name,)
+
+    def put(self, version, content=CONTENT):
+        """Put a configuration in force."""
+        self.machine.apply(model.configuration(version, content, b"{}"))
+
+    def handle(self, peer, msg, now):
+        """Answer a message of an entry VM."""
+        if isinstance(msg, messages.Poll):
+            return self.source.poll(
+                peer, msg, self.names, self.in_touch, 1, now
+            )
+        return self.source.part(peer, msg)
+
+
+class EntryVm:
+    """An entry VM that follows some control VMs."""
+
+    def __init__(self, name, control_vms, seed=1):
+        self.name = name
+        self.recorder = recorders.MemoryRecorder()
+        self.control_vms = {one.name: one for one in control_vms}
+        self.dark = set()
+        self.register = registers.Register(name, LIMITS, self.recorder)
+        self.follower = follower.Follower(
+            tuple(self.control_vms),
+            self.register,
+            self.recorder,
+        )
+        self.placing = placing.Placing(self.register, self.follower, 5.0, seed)
+        self.forwarder = forwarder.Forwarder(
+            self.register,
+            self.follower,
+            self.placing,
+            self.recorder,
+        )
+        self.now = 0.0
+        self.sent = []
+
+    def run(self, seconds):
+        """Let time pass."""
+        for _ in range(round(seconds / 0.02)):
+            self.now += 0.02
+            self.sent += self.forwarder.tick(self.now)
+            self.do(self.follower.tick(self.now))
+
+    def do(self, out):
+        """Bring messages to the control VMs and their answers back."""
+        for action in out:
+            assert isinstance(action, actions.Send)
+            if action.peer in self.dark:
+                continue
+            peer = self.control_vms[action.peer]
+            for answer in peer.handle(self.name, action.msg, self.now):
+                out = self.follower.handle(peer.name, answer.msg, self.now)
+                self.forwarder.changed()
+                self.do(out)
+
+    def packet(self, caller, **change):
+        """Hand in a packet; return what becomes of it."""
+        return self.forwarder.packet(packet(caller, **change), self.now)
+
+    def open(self, caller):
+        """Open a flow; return its upstream's id and cookie."""
+        (out,) = self.packet(caller, opening=True)
+        self.packet(caller, cookie=out.cookie)
+        return out.id, out.cookie
+
+    def refused(self):
+        """Return the reasons of the flows refused."""
+        return [
+            fields["reason"]
+            for event, fields in self.recorder.events
+            if event.name == "FLOW_REFUSED"
+        ]
+
+
+def bed(upstreams=3, **change):
+    """Return a control VM with upstreams, and an entry VM that knows."""
+    control = ControlVm("c1")
+    control.put(2)
+    for number in range(1, upstreams + 1):
+        control.register.announced(announcement(number, **change), 0.0)
+    entry = EntryVm("e1", [control])
+    entry.run(1.0)
+    assert entry.follower.complete()
+    return control, entry
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,269 @@
+"""The adapter: formats of the platform, to the byte and field."""
+
+import json
+import tomllib
+
+import pytest
+
+from ebonytally import deployment
+from ebonytally.echo import packets
+from ebonytally.platform import calls
+from ebonytally.platform import decode
+from ebonytally.platform import node_settings
+from ebonytally.platform import packet_wire
+
+SYN = bytes.fromhex(
+    "11223344 00000000 0000 c6120001 64400007 01bb 9c41 04 00 00000000a1b2c3d5"
+)
+RESET = bytes.fromhex(
+    "00000000 00000000 0000 64400007 c6120001 9c41 01bb 08 00 0000000000000000"
+)
+SETTINGS = """
+node-name = "front-cwm-a-1"
+role = "my-front"
+machine-class = "front"
+serves = ["front"]
+ip = "10.1.0.10"
+zone = "cwm-a"
+region = "cymru-west"
+internal-port-range = [7720,7735]
+seeds = ["10.3.0.8:8166","10.1.0.12:8166","10.2.0.41:8166"]
+bootstrap = true
+heartbeat-ms = 1200
+a-field-of-tomorrow = 3
+[zones]
+cwm-a = "cymru-west"
+cwm-b = "cymru-west"
+[bind-addrs]
+datagram-addr = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+[bounds]
+grace-s = 6
+cold-slack = 5
+flow-ttl-s = 60
+"""
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "buc-a",
+    "version": "v1",
+    "concurrency": 2,
+    "state": "ready",
+    "cold-remaining-ms": 500,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "198.18.0.1",
+            "path-prefix": "/8080/",
+            "type": "unsafe",
+            "timeout-ms": 3000,
+            "target-latency-ms": 200,
+            "priority": 1,
+            "service": "huvo11a",
+            "max-attempts": 2,
+        },
+        {
+            "name": "r-2",
+            "host": "198.18.0.1",
+            "path-prefix": "/8443/",
+            "type": "safe",
+            "timeout-ms": 2500,
+            "target-latency-ms": 150,
+            "priority": 2,
+            "backends": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "huvo11a",
+            "max-connections": 2000,
+            "cold-start-s": 2.0,
+            "cold-per-s": 0.0,
+        },
+        {"name": "wuno96b"},
+    ],
+    "limits": {"idle-timeout-ms": 15000},
+}
+
+
+def test_opening_packet_is_decoded():
+    packet = packet_wire.decode(SYN)
+    assert packet.opening
+    assert not packet.ends
+    assert packet.place == bytes.fromhex("c612000101bb")
+    assert packet.cookie == 0
+
+
+def test_packet_to_an_upstream_has_its_number_and_the_cookie():
+    packet = packet_wire.decode(SYN)
+    out = packets.ToUpstream("i-7f3a91c2", "10.1.1.1", 80, 0xCAFE, packet)
+    data = packet_wire.for_upstream(out)
+    assert data[:8] == bytes.fromhex("000000007f3a91c2")
+    assert data[8 : 8 + 24] == SYN[:24]
+    assert data[32:36] == bytes.fromhex("0000cafe")
+    assert data[36:] == SYN[28:]
+    out.cookie = None
+    assert packet_wire.for_upstream(out)[8:] == SYN
+
+
+def test_reset_goes_to_the_caller_from_the_service():
+    address, data = packet_wire.reset(packet_wire.decode(SYN))
+    assert (address, data) == ("100.64.0.7", RESET)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        SYN[:31],
+        SYN + b"x",
+        SYN[:22] + bytes([4 | 32]) + SYN[23:],
+        SYN + bytes(1300),
+    ],
+)
+def test_what_no_caller_sends_is_no_packet(data):
+    assert packet_wire.decode(data) is None
+
+
+def test_settings_become_a_deployment():
+    told = node_settings.read(tomllib.loads(SETTINGS))
+    assert told.role == deployment.Role.ENTRY
+    assert told.seeds == ("10.1.0.12", "10.2.0.41", "10.3.0.8")
+    assert told.first_start
+    assert told.packets == deployment.Endpoint("10.1.0.10", 8172)
+    assert told.cfg.ports.peers == 7720
+    assert told.announce_s == 1.2
+    assert told.data_centres == {"cwm-a", "cwm-b"}
+
+
+def test_settings_with_a_fault_name_the_field():
+    broken = SETTINGS.replace('zone = "cwm-a"', "zone = 5")
+    with pytest.raises(decode.DecodeError, match="type str"):
+        node_settings.read(tomllib.loads(broken))
+    missing = SETTINGS.replace('ip = "10.1.0.10"', "")
+    with pytest.raises(decode.DecodeError, match="ip"):
+        node_settings.read(tomllib.loads(missing))
+
+
+def test_heartbeat_is_an_announcement():
+    said = calls.heartbeat("i-7f3a91c2", json.dumps(BEAT).encode())
+    assert (said.address, said.port) == ("10.128.0.9", 8080)
+    assert said.data_centre == "buc-a"
+    assert (said.born_ms, said.sequence) == (1700000000000, 4)
+    assert not said.draining
+    assert said.cold_for_s == 0.5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"service": 5},
+        {"service": ""},
+        {"address": "10.128.0.9"},
+        {"address": "10.128.0.900:8080"},
+        {"address": "::1:8080"},
+        {"zone": ["buc-a"]},
+        {"concurrency": "2"},
+        {"concurrency": True},
+        {"concurrency": 0},
+        {"state": "resting"},
+        {"sequence": 1.5},
+        {"sequence": -1},
+        {"sequence": 2**70},
+        {"born": "yesterday"},
+        {"cold-remaining-ms": -1},
+    ],
+)
+def test_heartbeat_of_another_writer_names_no_upstream(change):
+    body = json.dumps({**BEAT, **change}).encode()
+    with pytest.raises(decode.DecodeError):
+        calls.heartbeat("i-7f3a91c2", body)
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "sequence"])
+def test_heartbeat_without_a_field_names_no_upstream(field):
+    body = {key: value for key, value in BEAT.items() if key != field}
+    with pytest.raises(decode.DecodeError, match=field):
+        calls.heartbeat("i-7f3a91c2", json.dumps(body).encode())
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff\xfe", b"3"])
+def test_bytes_that_are_no_object_are_refused(body):
+    with pytest.raises(decode.DecodeError):
+        calls.heartbeat("i-7f3a91c2", body)
+    with pytest.raises(decode.DecodeError):
+        calls.config(body)
+
+
+def test_heartbeat_under_an_id_without_a_number_is_refused():
+    body = json.dumps(BEAT).encode()
+    for id_ in ("", "xyz", "0123456789abcdef0"):
+        with pytest.raises(decode.DecodeError):
+            calls.heartbeat(id_, body)
+
+
+def test_config_is_decoded_into_routes():
+    version, content = calls.config(json.dumps(CONFIG).encode())
+    first, second = content.routes
+    assert version == 7
+    assert (first.address, first.port) == ("198.18.0.1", 8080)
+    assert not first.idempotent
+    assert second.idempotent
+    assert [(t.service, t.weight) for t in second.targets] == [
+        ("huvo11a", 90),
+        ("wuno96b", 10),
+    ]
+    assert content.idle_timeout_s == 15.0
+
+
+def _without_weight(config):
+    del config["routes"][1]["backends"][0]["weight"]
+
+
+def _text_version(config):
+    config["version"] = "7"
+
+
+def _no_routes(config):
+    del config["routes"]
+
+
+def _prefix_without_port(config):
+    config["routes"][0]["path-prefix"] = "/x/"
+
+
+def _host_name(config):
+    config["routes"][0]["host"] = "example"
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        _without_weight,
+        _text_version,
+        _no_routes,
+        _prefix_without_port,
+        _host_name,
+    ],
+)
+def test_config_that_cannot_be_read_in_full_is_refused(spoil):
+    config = json.loads(json.dumps(CONFIG))
+    spoil(config)
+    with pytest.raises(decode.DecodeError):
+        calls.config(json.dumps(config).encode())
+
+
+def test_config_cut_short_is_refused():
+    whole = json.dumps(CONFIG).encode()
+    for size in range(0, len(whole), 37):
+        with pytest.raises(decode.DecodeError):
+            calls.config(whole[:size])
