Reset nothing before the newest configuration is in force here

Cause: an entry VM that had just started heard a control VM in touch 12 ms before it had the configuration's parts. Ruled out: the upstream's record (ready all the time), the cookie (known). A view counts as fresh only with a configuration, and while no control VM told of a newer one.

--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -91,6 +91,7 @@
         self._others_at = 0.0
         self._asked = 0
         self._fetch: _Fetch | None = None
+        self._newest = 0
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take the seeds of changed settings."""
@@ -105,7 +106,13 @@
         return any(one.complete for one in self._sources.values())
 
     def fresh(self, now: float) -> bool:
-        """Return whether a well connected control VM answered lately."""
+        """Return whether nothing is known to be missing here.
+
+        A well connected control VM answered lately, and the newest
+        configuration that any told of is in force.
+        """
+        if not self.view.version or self.view.version < self._newest:
+            return False
         return any(
             one.in_touch and one.complete and now - one.answered_at < FRESH_S
             for one in self._sources.values()
@@ -161,6 +168,7 @@
         if source is None or msg.asked != source.asked:
             return []
         self._answered(peer, source, msg, now)
+        self._newest = max(self._newest, msg.version)
         for record in msg.records:
             self._register.told_by(record, now)
         self._data_centres(peer, msg)
--- a/tests/test_echo_flows.py
+++ b/tests/test_echo_flows.py
@@ -199,3 +199,27 @@
     assert len(placed) == 1
     (out,) = entry.packet(1, cookie=77)
     assert {out.id} == placed
+
+
+def test_entry_vm_that_lacks_the_configuration_resets_nothing():
+    """llenni-cut scale-1, seed 752189262509: an open flow was reset."""
+    control, _ = beds.bed()
+    entry = beds.EntryVm("e2", [control])
+    handle = control.handle
+
+    def without_parts(peer, msg, now):
+        return [] if hasattr(msg, "part") else handle(peer, msg, now)
+
+    control.handle = without_parts
+    entry.run(0.5)
+    assert len(entry.register) == 3
+    cookie = forwarder.cookie_of(control.register.get("i-00000001").record)
+    assert entry.packet(1, cookie=cookie, size=5) == []
+    control.handle = handle
+    entry.run(0.5)
+    (out,) = entry.packet(1, cookie=cookie, size=5)
+    assert out.id == "i-00000001"
+    control.put(4)
+    control.handle = without_parts
+    entry.run(0.5)
+    assert entry.packet(2, place=b"\xc6\x12\x00\x09\x01\xbb") == []
