--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -227,6 +227,8 @@
             if opening is not None:
                 self._given_up(packet.key, opening)
                 self._placing.load(id_).opened(now)
+                took_s = now - opening.began_at
+                self._recorder.measured("flow_opening", took_s)
             if packet.ends or len(self._flows) >= MAX_FLOWS:
                 return
             flow = self._flows[packet.key] = _Flow(id_, now)
@@ -234,6 +236,7 @@
         flow.last_at = now
         self._flows.move_to_end(packet.key)
         if flow.busy_since and packet.ack != flow.expects:
+            self._recorder.measured("first_answer", now - flow.busy_since)
             self._idle(flow)
         if packet.size and not flow.busy_since:
             flow.busy_since = now
--- a/ebonytally/live_recorder.py
+++ b/ebonytally/live_recorder.py
@@ -109,3 +109,7 @@
         """Add to the counter `name`."""
         counts = self.metrics.counts
         counts[name] = counts.get(name, 0) + amount
+
+    def measured(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram, by its metric name."""
+        self.metrics.measured(name, seconds)
--- a/ebonytally/metrics.py
+++ b/ebonytally/metrics.py
@@ -17,6 +17,20 @@
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 _METER = "ebonytally"
+# From a round trip inside a data centre to a caller's patience.
+DURATION_BOUNDS_S = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+)
 
 
 class Metrics:
@@ -42,6 +56,12 @@
             shutdown_on_exit=False,
         )
         self._meter = self._provider.get_meter(_METER)
+        self._durations = self._meter.create_histogram(
+            f"{_METER}_duration",
+            unit="s",
+            description="how long things took, by name",
+            explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
+        )
         self._counter("refusals", "refused, by reason", self.refusals)
         self._counter("retries", "tried again, by reason", self.retries)
         self._counter("counts", "other things counted", self.counts, "name")
@@ -66,6 +86,10 @@
             description=description,
         )
 
+    def measured(self, name: str, seconds: float) -> None:
+        """Add a duration to the histogram."""
+        self._durations.record(seconds, {"name": name})
+
     def text(self) -> bytes:
         """Return everything in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/ebonytally/orders.py
+++ b/ebonytally/orders.py
@@ -134,15 +134,17 @@
             return Answer(End.UNAVAILABLE, "no leader is known")
         if leader != self._me:
             return Answer(End.ELSEWHERE, "another VM leads", leader)
+        began = self._clock.now()
         token = self._node.token()
         waiting = self._waiting[token] = gevent_event.AsyncResult()
         try:
-            self._perform(start(token, self._clock.now()))
+            self._perform(start(token, began))
             end = waiting.get(timeout=ANSWER_S)
         except gevent.Timeout:
             return Answer(End.UNAVAILABLE, "no majority answered in time")
         finally:
             self._waiting.pop(token, None)
+        self._recorder.measured("order", self._clock.now() - began)
         if not end.ok:
             return Answer(End.UNAVAILABLE, end.reason)
         return Answer(End.DONE)
--- a/ebonytally/recorder.py
+++ b/ebonytally/recorder.py
@@ -21,6 +21,9 @@
     def counted(self, name: str, amount: int = 1) -> None:
         """Add to a counter of another kind, by its metric name."""
 
+    def measured(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram, by its metric name."""
+
 
 class MemoryRecorder:
     """Keeps everything in memory, for tests and scenarios."""
@@ -29,6 +32,7 @@
         """Start empty."""
         self.events: list[tuple[events.Event, dict[str, object]]] = []
         self.counts: dict[str, int] = {}
+        self.durations: dict[str, list[float]] = {}
 
     def event(self, event: events.Event, **fields: object) -> None:
         """Write one log event."""
@@ -45,3 +49,7 @@
     def counted(self, name: str, amount: int = 1) -> None:
         """Add to the counter `name`."""
         self.counts[name] = self.counts.get(name, 0) + amount
+
+    def measured(self, name: str, seconds: float) -> None:
+        """Keep a duration."""
+        self.durations.setdefault(name, []).append(seconds)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -47,11 +47,20 @@
 def test_metrics_catalogue_has_each_other_name():
     listed = {name for name, _ in _REASON_ROW.findall(_section("Other names"))}
     used = set()
-    for path in (_ROOT / "ebonytally").glob("*.py"):
+    for path in (_ROOT / "ebonytally").rglob("*.py"):
         used.update(re.findall(r'counted\(\s*"([a-z_]+)"', path.read_text()))
     assert used <= listed, "amend docs/METRICS.md"
 
 
+def test_metrics_catalogue_has_each_duration():
+    listed = {name for name, _ in _REASON_ROW.findall(_section("Durations"))}
+    used = set()
+    for path in (_ROOT / "ebonytally").rglob("*.py"):
+        found = re.findall(r'measured\(\s*"([a-z_]+)"', path.read_text())
+        used.update(found)
+    assert used == listed, "amend docs/METRICS.md"
+
+
 @pytest.mark.parametrize("page", _PAGES, ids=lambda page: page.name)
 def test_links_lead_somewhere(page):
     for target in _LINK.findall(page.read_text()):
