--- a/tests/echo_bed.py
+++ b/tests/echo_bed.py
@@ -3,7 +3,6 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import recorder as recorders
 from ebonytally.configuration import machine as machines
 from ebonytally.configuration import model
 from ebonytally.echo import forwarder
@@ -12,6 +11,7 @@
 from ebonytally.feed import follower
 from ebonytally.feed import messages
 from ebonytally.feed import source
+from ebonytally import recorder as recorders
 from ebonytally.register import records
 from ebonytally.register import register as registers
 
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -3,14 +3,14 @@
 import attrs
 
 from ebonytally import actions
+from ebonytally.configuration import machine as machines
+from ebonytally.configuration import model
 from ebonytally import control_node
 from ebonytally import control_runner
 from ebonytally import deployment
 from ebonytally import recorder as recorders
 from ebonytally import settings
 from ebonytally import wire
-from ebonytally.configuration import machine as machines
-from ebonytally.configuration import model
 from tests import agreement_fakes as fakes
 from tests import echo_bed as beds
 
