--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -14,6 +14,7 @@
 from ebonytally import ports
 from ebonytally import recorder as recorders
 from ebonytally.register import exchange
+from ebonytally.register import kept
 from ebonytally.register import records
 from ebonytally.register import register as registers
 
@@ -39,10 +40,13 @@
         start: int,
         recorder: recorders.Recorder,
         runner: control_runner.ControlRunner,
+        now: float,
+        wall: float,
     ) -> None:
         """Open the log.
 
         :param start: differs at each start of this VM
+        :param wall: seconds since 1970
         :raises StorageError: when the data folder can't be used
         """
         me = told.cfg.name
@@ -64,6 +68,8 @@
             entry_node.limits(told),
             recorder,
         )
+        self._kept = kept.Kept(disk, self.register, recorder)
+        self._kept.load(now, wall)
         self.exchange = exchange.Exchange(
             me,
             told.seeds,
@@ -146,8 +152,10 @@
             return self._source.part(peer, msg)
         return self.exchange.handle(peer, msg, now)
 
-    def tick(self, now: float) -> list[actions.Action]:
+    def tick(self, now: float, wall: float) -> list[actions.Action]:
         """Do what is due."""
+        if self._kept.due(now):
+            self._run(self._save, now, wall)
         if self.agreement.is_leader:
             self.agreement.want_voters(self._wanted(now))
         out = self._run(self.agreement.tick, now)
@@ -164,6 +172,10 @@
         """Hand leadership over before a planned stop."""
         return self._run(self.agreement.transfer, now)
 
+    def _save(self, now: float, wall: float) -> list[actions.Action]:
+        self._kept.save(now, wall)
+        return []
+
     def _run(self, call: Callable, *args: object) -> list[actions.Action]:
         return self._runner.run(functools.partial(call, *args))
 
--- a/ebonytally/control_role.py
+++ b/ebonytally/control_role.py
@@ -28,6 +28,10 @@
 ]
 
 
+# Entry VMs that restarted as well are answered first.
+LARGE_AFTER_S = 0.25
+
+
 class ControlRole:
     """A `roles.Role` that agrees, registers and tells entry VMs."""
 
@@ -59,6 +63,8 @@
             start,
             recorder,
             task,
+            clock.now(),
+            clock.wall(),
         )
         self._peers = peers.Peers(
             told.cfg,
@@ -66,6 +72,7 @@
             self._message,
             lambda peer: peer,
             recorder,
+            LARGE_AFTER_S,
         )
         self._orders = orders.Orders(
             self._node,
@@ -86,7 +93,7 @@
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        self._perform(self._node.tick(now))
+        self._perform(self._node.tick(now, self._clock.wall()))
 
     def reload(self, told: deployments.Deployment) -> None:
         """Take changed settings."""
--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -16,6 +16,9 @@
 # Each control VM but the primary is asked in turn.
 OTHERS_S = 0.5
 ANSWER_S = 0.25
+# An entry VM that knows nothing asks everybody this often: when all
+# restart at once, it serves as soon as one control VM is back.
+JOIN_S = 0.05
 # Beyond this the view may be old: nothing is refused for what it lacks.
 FRESH_S = 1.2
 RTT_GAIN = 0.3
@@ -125,7 +128,7 @@
             self._choose(now)
             if not self.complete():
                 for name in self._sources:
-                    if now - self._sources[name].asked_at >= ANSWER_S:
+                    if now - self._sources[name].asked_at >= JOIN_S:
                         out.append(self._poll(name, now))
         primary = self._sources.get(self._primary)
         if primary is not None and now - primary.asked_at >= POLL_S:
--- a/ebonytally/live_recorder.py
+++ b/ebonytally/live_recorder.py
@@ -1,15 +1,17 @@
 """The recorder of a running daemon: log lines and metrics."""
 
 import contextlib
+import importlib
 import time
 from typing import TextIO
 
+import gevent
+
 from ebonytally import events
 from ebonytally import log
-from ebonytally import metrics
-from ebonytally import metrics_http
 from ebonytally import reasons
 from ebonytally import settings
+from ebonytally import tally
 
 MAX_PER_SECOND = 20
 _LIMITED = (
@@ -66,27 +68,60 @@
         cfg: settings.Settings,
         stack: contextlib.ExitStack,
         stream: TextIO | None = None,
+        metrics_after_s: float = 0.0,
     ) -> None:
         """Start the log and open the metrics port.
 
         :param stack: closes both
         :param stream: of the log, standard output if None
-        :raises OSError: when the port can't be opened
+        :param metrics_after_s: serve the metrics only after this;
+            loading what they need takes longer than all else together
+        :raises OSError: when the port can't be opened at once
         """
         self._log = log.Log(cfg.name, stack, stream)
         self._limit = EventLimit()
-        self.metrics = metrics.Metrics(cfg.name)
-        stack.callback(self.metrics.close)
-        self.metrics.gauge(
+        self._cfg = cfg
+        self.tally = tally.Tally()
+        if not metrics_after_s:
+            self.serve(stack)
+            return
+        later = gevent.spawn_later(metrics_after_s, self._serve_later, stack)
+        stack.callback(later.kill)
+
+    def serve(self, stack: contextlib.ExitStack) -> None:
+        """Open the metrics port.
+
+        :raises OSError: when it can't be opened
+        """
+        from ebonytally import metrics
+        from ebonytally import metrics_http
+
+        shown = metrics.Metrics(self._cfg.name, self.tally)
+        stack.callback(shown.close)
+        shown.gauge(
             "log_lines_dropped",
             "log lines dropped because their reader didn't keep up",
             lambda: self._log.dropped,
         )
-        address = (cfg.address, cfg.ports.metrics)
-        self.server = metrics_http.MetricsServer(address, self.metrics)
+        address = (self._cfg.address, self._cfg.ports.metrics)
+        self.server = metrics_http.MetricsServer(address, shown)
         self.server.start()
         stack.callback(self.server.stop)
 
+    def _serve_later(self, stack: contextlib.ExitStack) -> None:
+        # Imported in a thread, so that packets go on meanwhile.
+        load = importlib.import_module
+        gevent.get_hub().threadpool.apply(load, ("ebonytally.metrics",))
+        try:
+            self.serve(stack)
+        except OSError as exc:
+            self.event(
+                events.Event.TASK_FAILED,
+                step="open metrics port",
+                peer="",
+                detail=str(exc),
+            )
+
     def event(self, event: events.Event, **fields: object) -> None:
         """Write one log event."""
         wall = time.time()
@@ -99,17 +134,17 @@
 
     def refused(self, reason: reasons.Refusal) -> None:
         """Count one refusal."""
-        self.metrics.refusals[reason.value] += 1
+        self.tally.refusals[reason.value] += 1
 
     def retried(self, reason: reasons.Retry) -> None:
         """Count one retry."""
-        self.metrics.retries[reason.value] += 1
+        self.tally.retries[reason.value] += 1
 
     def counted(self, name: str, amount: int = 1) -> None:
         """Add to the counter `name`."""
-        counts = self.metrics.counts
+        counts = self.tally.counts
         counts[name] = counts.get(name, 0) + amount
 
     def measured(self, name: str, seconds: float) -> None:
         """Add a duration to a histogram, by its metric name."""
-        self.metrics.measured(name, seconds)
+        self.tally.durations.append((name, seconds))
--- a/ebonytally/metrics.py
+++ b/ebonytally/metrics.py
@@ -13,7 +13,7 @@
 from opentelemetry.sdk import resources
 import prometheus_client
 
-from ebonytally import reasons
+from ebonytally import tally
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 _METER = "ebonytally"
@@ -36,14 +36,12 @@
 class Metrics:
     """All counters and gauges of one daemon."""
 
-    def __init__(self, vm: str) -> None:
-        """Start with every refusal and retry at 0.
+    def __init__(self, vm: str, counted: tally.Tally) -> None:
+        """Show what is counted.
 
         :param vm: name of this VM
         """
-        self.refusals = {reason.value: 0 for reason in reasons.Refusal}
-        self.retries = {reason.value: 0 for reason in reasons.Retry}
-        self.counts: dict[str, int] = {}
+        self._tally = counted
         self._registry = prometheus_client.CollectorRegistry()
         prometheus_client.ProcessCollector(registry=self._registry)
         reader = prometheus.PrometheusMetricReader(
@@ -62,9 +60,14 @@
             description="how long things took, by name",
             explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
         )
-        self._counter("refusals", "refused, by reason", self.refusals)
-        self._counter("retries", "tried again, by reason", self.retries)
-        self._counter("counts", "other things counted", self.counts, "name")
+        self._counter("refusals", "refused, by reason", counted.refusals)
+        self._counter("retries", "tried again, by reason", counted.retries)
+        self._counter(
+            "counts",
+            "other things counted",
+            counted.counts,
+            "name",
+        )
 
     def gauge(
         self,
@@ -86,12 +89,11 @@
             description=description,
         )
 
-    def measured(self, name: str, seconds: float) -> None:
-        """Add a duration to the histogram."""
-        self._durations.record(seconds, {"name": name})
-
     def text(self) -> bytes:
         """Return everything in the Prometheus text format."""
+        while self._tally.durations:
+            name, seconds = self._tally.durations.popleft()
+            self._durations.record(seconds, {"name": name})
         return prometheus_client.generate_latest(self._registry)
 
     def close(self) -> None:
--- a/ebonytally/peers.py
+++ b/ebonytally/peers.py
@@ -8,14 +8,20 @@
 
 from collections.abc import Callable
 import contextlib
+import importlib
+from typing import TYPE_CHECKING
+
+import gevent
 
-from ebonytally import grpc_bridge
 from ebonytally import peer_datagrams
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import settings
 from ebonytally import wire
 
+if TYPE_CHECKING:
+    from ebonytally import grpc_bridge
+
 SMALL_BYTES = 1200
 # IPv4 and UDP headers, and gRPC's HTTP/2 frames, headers and TCP/IP.
 DATAGRAM_OVERHEAD_BYTES = 28
@@ -34,10 +40,13 @@
         take: Callable[[str, object], None],
         address_of: Callable[[str], str | None],
         recorder: recorders.Recorder,
+        large_after_s: float = 0.0,
     ) -> None:
         """Listen and hand each authentic message to `take`.
 
         :param address_of: IPv4 address of an entry VM, None if unknown
+        :param large_after_s: take and send large messages only after
+            this; loading gRPC takes a while
         """
         self._ports = cfg.ports
         self._address_of = address_of
@@ -49,12 +58,30 @@
             lambda peer: address_of(peer) is not None,
             recorder,
         )
+        self._cfg = cfg
+        self._stack = stack
+        self._client: grpc_bridge.Client | None = None
+        if not large_after_s:
+            self._open_large()
+            return
+        later = gevent.spawn_later(large_after_s, self._open_later)
+        stack.callback(later.kill)
+
+    def _open_later(self) -> None:
+        # Imported in a thread, so that small messages go on meanwhile.
+        load = importlib.import_module
+        gevent.get_hub().threadpool.apply(load, ("ebonytally.grpc_bridge",))
+        self._open_large()
+
+    def _open_large(self) -> None:
+        from ebonytally import grpc_bridge
+
         grpc_bridge.serve(
-            stack,
-            f"{cfg.address}:{cfg.ports.control}",
+            self._stack,
+            f"{self._cfg.address}:{self._cfg.ports.control}",
             self._datagrams.frame,
         )
-        self._client = grpc_bridge.Client(stack, self._failed)
+        self._client = grpc_bridge.Client(self._stack, self._failed)
 
     def send(self, peer: str, msg: object) -> None:
         """Send a message to an entry VM, best effort."""
@@ -69,7 +96,7 @@
             self._datagrams.send(address, frame)
         else:
             size = len(frame) + GRPC_OVERHEAD_BYTES
-            self._client.send(f"{address}:{self._ports.control}", frame)
+            self._send_large(address, frame)
         name = "control_bytes_sent"
         if kind in _FLOW_KINDS:
             name = "flow_bytes_sent"
@@ -78,6 +105,12 @@
         self._recorder.counted(name, size)
         self._recorder.counted(f"{name}.{type(msg).__name__}", size)
 
+    def _send_large(self, address: str, frame: bytes) -> None:
+        if self._client is None:
+            self._recorder.retried(reasons.Retry.PEER_SEND_FAILED)
+            return
+        self._client.send(f"{address}:{self._ports.control}", frame)
+
     def _is_datagram(self, kind: int, size: int) -> bool:
         if kind in _FLOW_KINDS:
             return size <= wire.MAX_DATAGRAM_BYTES
--- a/ebonytally/roles.py
+++ b/ebonytally/roles.py
@@ -25,6 +25,8 @@
 # Another control VM takes the lead meanwhile.
 STOP_CONTROL_S = 0.4
 RELOAD_EVERY_S = 1.0
+# A restarted process serves first; nobody reads metrics that soon.
+METRICS_AFTER_S = 4.0
 EXIT_DONE = 0
 EXIT_FAILED = 1
 
@@ -81,6 +83,7 @@
         self._recorder = live_recorder.LiveRecorder(
             attrs.evolve(told.cfg, name=told.name),
             stack,
+            metrics_after_s=METRICS_AFTER_S,
         )
         start = random.SystemRandom().getrandbits(48)
         self._role = make(told, stack, self._recorder, self._clock, start)
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -9,12 +9,14 @@
 from ebonytally import control_runner
 from ebonytally import deployment
 from ebonytally import recorder as recorders
+from ebonytally.register import records
 from ebonytally import settings
 from ebonytally import wire
 from tests import agreement_fakes as fakes
 from tests import echo_bed as beds
 
 STEP_S = 0.02
+WALL = 1.7e9
 
 
 def told(name, seeds, first):
@@ -69,6 +71,8 @@
             self.starts,
             self.recorder,
             control_runner.Inline(),
+            self.now,
+            WALL + self.now,
         )
 
     def stop(self, name):
@@ -102,7 +106,8 @@
             self.now += STEP_S
             for name in sorted(self.nodes):
                 if name not in self.asleep:
-                    self.do(name, self.nodes[name].tick(self.now))
+                    wall = WALL + self.now
+                    self.do(name, self.nodes[name].tick(self.now, wall))
 
     @property
     def leader(self):
@@ -247,3 +252,47 @@
     cluster.start("a", wiped=True)
     cluster.run(10.0)
     assert cluster.leader is None
+
+
+def test_all_killed_at_once_know_the_upstreams_again_at_once():
+    """ajd-balancer, trouble-1: the first to announce got all new flows."""
+    cluster = started()
+    for number in range(1, 12):
+        said = beds.announcement(number)
+        cluster.do("d", cluster.nodes["d"].announced(said, cluster.now))
+    left = cluster.nodes["d"].left(beds.announcement(1).id, 0, cluster.now)
+    cluster.do("d", left)
+    cluster.run(1.2)
+    for name in "abcd":
+        cluster.stop(name)
+    cluster.now += 1.0
+    for name in "abcd":
+        cluster.start(name)
+    for node in cluster.nodes.values():
+        states = [one.record.state for one in node.register.entries()]
+        assert states.count(records.State.READY) == 10
+        assert states.count(records.State.GONE) == 1
+
+
+def test_an_old_register_offers_no_upstream():
+    cluster = started()
+    said = beds.announcement(1)
+    cluster.do("d", cluster.nodes["d"].announced(said, cluster.now))
+    cluster.run(1.2)
+    cluster.stop("d")
+    cluster.now += 60.0
+    cluster.start("d")
+    entry = cluster.nodes["d"].register.get(said.id)
+    assert entry.record.state == records.State.SILENT
+
+
+def test_a_register_that_cannot_be_read_is_learned_anew():
+    cluster = started()
+    cluster.stop("d")
+    cluster.disks["d"].replace("register", b"garbage")
+    cluster.start("d")
+    assert len(cluster.nodes["d"].register) == 0
+    assert any(
+        event.name == "REGISTER_NOT_KEPT"
+        for event, _ in cluster.recorder.events
+    )
