--- a/ebonytally/control_role.py
+++ b/ebonytally/control_role.py
@@ -9,6 +9,7 @@
 from ebonytally import deployment as deployments
 from ebonytally import disk_files
 from ebonytally import disk_threads
+from ebonytally import later
 from ebonytally import live_recorder
 from ebonytally import orders
 from ebonytally import peers
@@ -81,7 +82,13 @@
             self._perform,
             recorder,
         )
-        open_orders(told, stack, self._orders, self)
+        later.run(
+            roles.PORTS_AFTER_S,
+            "open port for orders",
+            lambda: open_orders(told, stack, self._orders, self),
+            stack,
+            recorder,
+        )
 
     def announced(self, said: records.Announcement) -> None:
         """Take an upstream's announcement."""
--- a/ebonytally/entry_role.py
+++ b/ebonytally/entry_role.py
@@ -9,6 +9,7 @@
 from ebonytally.echo import packets
 from ebonytally import entry_node
 from ebonytally import events
+from ebonytally import later
 from ebonytally import live_recorder
 from ebonytally import peer_datagrams
 from ebonytally import roles
@@ -71,7 +72,13 @@
             self._packet,
             recorder,
         )
-        open_readiness(told.readiness, stack, self._node.ready)
+        later.run(
+            roles.PORTS_AFTER_S,
+            "open readiness port",
+            lambda: open_readiness(told.readiness, stack, self._node.ready),
+            stack,
+            recorder,
+        )
 
     def tick(self, now: float) -> None:
         """Do what is due."""
--- a/ebonytally/live_recorder.py
+++ b/ebonytally/live_recorder.py
@@ -1,13 +1,11 @@
 """The recorder of a running daemon: log lines and metrics."""
 
 import contextlib
-import importlib
 import time
 from typing import TextIO
 
-import gevent
-
 from ebonytally import events
+from ebonytally import later
 from ebonytally import log
 from ebonytally import reasons
 from ebonytally import settings
@@ -85,17 +83,21 @@
         if not metrics_after_s:
             self.serve(stack)
             return
-        later = gevent.spawn_later(metrics_after_s, self._serve_later, stack)
-        stack.callback(later.kill)
+        later.run(
+            metrics_after_s,
+            "open metrics port",
+            lambda: self.serve(stack),
+            stack,
+            self,
+        )
 
     def serve(self, stack: contextlib.ExitStack) -> None:
         """Open the metrics port.
 
         :raises OSError: when it can't be opened
         """
-        from ebonytally import metrics
-        from ebonytally import metrics_http
-
+        metrics = later.load("ebonytally.metrics")
+        metrics_http = later.load("ebonytally.metrics_http")
         shown = metrics.Metrics(self._cfg.name, self.tally)
         stack.callback(shown.close)
         shown.gauge(
@@ -108,20 +110,6 @@
         self.server.start()
         stack.callback(self.server.stop)
 
-    def _serve_later(self, stack: contextlib.ExitStack) -> None:
-        # Imported in a thread, so that packets go on meanwhile.
-        load = importlib.import_module
-        gevent.get_hub().threadpool.apply(load, ("ebonytally.metrics",))
-        try:
-            self.serve(stack)
-        except OSError as exc:
-            self.event(
-                events.Event.TASK_FAILED,
-                step="open metrics port",
-                peer="",
-                detail=str(exc),
-            )
-
     def event(self, event: events.Event, **fields: object) -> None:
         """Write one log event."""
         wall = time.time()
--- a/ebonytally/peers.py
+++ b/ebonytally/peers.py
@@ -8,11 +8,9 @@
 
 from collections.abc import Callable
 import contextlib
-import importlib
 from typing import TYPE_CHECKING
 
-import gevent
-
+from ebonytally import later
 from ebonytally import peer_datagrams
 from ebonytally import reasons
 from ebonytally import recorder as recorders
@@ -64,18 +62,16 @@
         if not large_after_s:
             self._open_large()
             return
-        later = gevent.spawn_later(large_after_s, self._open_later)
-        stack.callback(later.kill)
-
-    def _open_later(self) -> None:
-        # Imported in a thread, so that small messages go on meanwhile.
-        load = importlib.import_module
-        gevent.get_hub().threadpool.apply(load, ("ebonytally.grpc_bridge",))
-        self._open_large()
+        later.run(
+            large_after_s,
+            "open port for large messages",
+            self._open_large,
+            stack,
+            recorder,
+        )
 
     def _open_large(self) -> None:
-        from ebonytally import grpc_bridge
-
+        grpc_bridge = later.load("ebonytally.grpc_bridge")
         grpc_bridge.serve(
             self._stack,
             f"{self._cfg.address}:{self._cfg.ports.control}",
--- a/ebonytally/roles.py
+++ b/ebonytally/roles.py
@@ -25,6 +25,8 @@
 # Another control VM takes the lead meanwhile.
 STOP_CONTROL_S = 0.4
 RELOAD_EVERY_S = 1.0
+# HTTP loads slowly; entry and control VMs find each other first.
+PORTS_AFTER_S = 0.02
 # A restarted process serves first; nobody reads metrics that soon.
 METRICS_AFTER_S = 4.0
 EXIT_DONE = 0
