Take a mark torn into zeros for no record of the log

Ruled out: damage to a promised record (nothing whole behind it), the record that was written (its bytes decode).

--- a/ebonytally/log_records.py
+++ b/ebonytally/log_records.py
@@ -72,7 +72,11 @@
         return None
     mark, size, crc = _HEAD.unpack_from(data, offset)
     end = start + size
-    if mark != _MARK or size > MAX_RECORD_BYTES or end > len(data):
+    if mark != _MARK or end > len(data):
+        return None
+    # A mark torn into zeros would pass for an empty record: the CRC-32 of
+    # nothing is 0.
+    if not 0 < size <= MAX_RECORD_BYTES:
         return None
     payload = data[start:end]
     if zlib.crc32(payload) != crc:
--- a/tests/test_agreement_storage.py
+++ b/tests/test_agreement_storage.py
@@ -10,6 +10,7 @@
 
 from ebonytally import agreement_messages as messages
 from ebonytally import errors
+from ebonytally import log_records
 from ebonytally import log_storage
 from ebonytally import recorder
 from ebonytally import recovery
@@ -166,3 +167,19 @@
     derandomize=not SEEDS,
     database=None,
 )
+
+
+@pytest.mark.parametrize("zeros", range(0, 40))
+def test_a_tail_torn_into_zeros_is_cut_off(zeros):
+    """llenni-cut, inc-4202: a mark before zeros passed for a record.
+
+    The CRC-32 of nothing is 0.
+    """
+    entry = messages.Entry(1, 1, "t", b"command")
+    whole = log_records.encode_entry(entry, 0)
+    for torn in range(5):
+        data = whole + whole[:torn] + bytes(zeros)
+        scan = log_records.scan(data, 0)
+        assert [one.entry for one in scan.records] == [entry]
+        assert scan.end == len(whole)
+        assert scan.damaged_after == -1
