--- a/benches/baselines.py
+++ b/benches/baselines.py
@@ -5,8 +5,8 @@
 from ebonytally import actions
 from ebonytally import ports
 from ebonytally import settings
-from ebonytally import upstream_announce
-from ebonytally import upstream_register
+from ebonytally.upstreams import upstream_announce
+from ebonytally.upstreams import upstream_register
 from ebonytally import view
 
 TRIES = 50
--- a/benches/bench_capacity.py
+++ b/benches/bench_capacity.py
@@ -14,12 +14,12 @@
 
 from ebonytally import commands
 from ebonytally import config
-from ebonytally import flow_records
-from ebonytally import members
+from ebonytally.flows import flow_records
 from ebonytally import recorder
 from ebonytally import settings
-from ebonytally import spread
-from ebonytally import spread_history
+from ebonytally.spread import members
+from ebonytally.spread import spread
+from ebonytally.spread import spread_history
 from ebonytally import view
 from ebonytally import wire
 from tests import virtual_net
--- a/benches/bench_control.py
+++ b/benches/bench_control.py
@@ -12,10 +12,10 @@
 import time
 
 from benches import control_cluster
-from ebonytally import agreement
-from ebonytally import agreement_messages as messages
+from ebonytally.agreement import agreement
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import log_storage
 from ebonytally import disk_files
-from ebonytally import log_storage
 from ebonytally import recorder
 from ebonytally import settings
 from ebonytally import wire
--- a/benches/bench_decide.py
+++ b/benches/bench_decide.py
@@ -7,12 +7,12 @@
 import tracemalloc
 
 from ebonytally import actions
-from ebonytally import flow_packet
-from ebonytally import flow_recent
-from ebonytally import flow_records
-from ebonytally import flow_routes
-from ebonytally import flow_table
-from ebonytally import flows
+from ebonytally.flows import flow_packet
+from ebonytally.flows import flow_recent
+from ebonytally.flows import flow_records
+from ebonytally.flows import flow_routes
+from ebonytally.flows import flow_table
+from ebonytally.flows import flows
 from ebonytally import recorder
 from ebonytally import view
 from tests import flow_bed
--- a/benches/bench_flows.py
+++ b/benches/bench_flows.py
@@ -8,8 +8,8 @@
 
 from benches import flow_baselines
 from ebonytally import commands
-from ebonytally import flow_keepers
-from ebonytally import flows
+from ebonytally.flows import flow_keepers
+from ebonytally.flows import flows
 from ebonytally import view
 from tests import flow_bed
 
--- a/benches/bench_requests.py
+++ b/benches/bench_requests.py
@@ -13,7 +13,7 @@
 from ebonytally import actions
 from ebonytally import ports
 from ebonytally import reasons
-from ebonytally import request_head
+from ebonytally.requests import request_head
 from ebonytally import view
 from ebonytally import wire
 
--- a/benches/control_cluster.py
+++ b/benches/control_cluster.py
@@ -4,7 +4,7 @@
 import random
 
 from ebonytally import actions
-from ebonytally import agreement
+from ebonytally.agreement import agreement
 from ebonytally import commands
 from ebonytally import recorder
 from ebonytally import settings
--- a/benches/flow_baselines.py
+++ b/benches/flow_baselines.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from ebonytally import actions
-from ebonytally import flow_packet
+from ebonytally.flows import flow_packet
 from ebonytally import view
 
 
--- a/benches/virtual.py
+++ b/benches/virtual.py
@@ -15,11 +15,11 @@
 from ebonytally import config
 from ebonytally import ports
 from ebonytally import recorder
-from ebonytally import request_head
-from ebonytally import requests
+from ebonytally.requests import request_head
+from ebonytally.requests import requests
 from ebonytally import settings
-from ebonytally import upstream_announce
-from ebonytally import upstreams
+from ebonytally.upstreams import upstream_announce
+from ebonytally.upstreams import upstreams
 from ebonytally import view
 from ebonytally import wire
 
--- a/ebonytally/__main__.py
+++ b/ebonytally/__main__.py
@@ -1,5 +1,5 @@
 """Runs the command line: ``python -m ebonytally``."""
 
-from ebonytally import cli
+from ebonytally.cli import cli
 
 cli.main()
--- /dev/null
+++ b/ebonytally/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: agreement, its storage, and ways to it."""
--- a/ebonytally/agreement.py
+++ b/ebonytally/agreement/agreement.py
@@ -10,18 +10,18 @@
 import random
 
 from ebonytally import actions
-from ebonytally import agreement_apply
-from ebonytally import agreement_election
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_proposals
-from ebonytally import agreement_reads
-from ebonytally import agreement_replication
-from ebonytally import agreement_snapshot
-from ebonytally import agreement_state
-from ebonytally import agreement_voters
+from ebonytally.agreement import agreement_apply
+from ebonytally.agreement import agreement_election
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_proposals
+from ebonytally.agreement import agreement_reads
+from ebonytally.agreement import agreement_replication
+from ebonytally.agreement import agreement_snapshot
+from ebonytally.agreement import agreement_state
+from ebonytally.agreement import agreement_voters
+from ebonytally.agreement import log_storage
 from ebonytally import errors
 from ebonytally import events
-from ebonytally import log_storage
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import recorder as recorder_lib
--- a/ebonytally/agreement_apply.py
+++ b/ebonytally/agreement/agreement_apply.py
@@ -2,9 +2,9 @@
 
 import collections
 
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_results
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_results
+from ebonytally.agreement import agreement_state
 from ebonytally import events
 from ebonytally import wire
 
--- a/ebonytally/agreement_election.py
+++ b/ebonytally/agreement/agreement_election.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_state
 from ebonytally import events
 from ebonytally import reasons
 
--- a/ebonytally/agreement_proposals.py
+++ b/ebonytally/agreement/agreement_proposals.py
@@ -3,10 +3,10 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import agreement_apply
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_results
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_apply
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_results
+from ebonytally.agreement import agreement_state
 from ebonytally import errors
 from ebonytally import reasons
 from ebonytally import wire
--- a/ebonytally/agreement_reads.py
+++ b/ebonytally/agreement/agreement_reads.py
@@ -3,8 +3,8 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import agreement_replication
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_replication
+from ebonytally.agreement import agreement_state
 from ebonytally import reasons
 
 # A caller moves on after a second without an answer.
--- a/ebonytally/agreement_replication.py
+++ b/ebonytally/agreement/agreement_replication.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_state
 from ebonytally import reasons
 from ebonytally import wire
 
--- a/ebonytally/agreement_snapshot.py
+++ b/ebonytally/agreement/agreement_snapshot.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_replication
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_replication
+from ebonytally.agreement import agreement_state
 from ebonytally import errors
 from ebonytally import events
 from ebonytally import reasons
--- a/ebonytally/agreement_state.py
+++ b/ebonytally/agreement/agreement_state.py
@@ -6,10 +6,10 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import agreement_messages as messages
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import log_storage
 from ebonytally import errors
 from ebonytally import events
-from ebonytally import log_storage
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import recorder as recorder_lib
--- a/ebonytally/agreement_voters.py
+++ b/ebonytally/agreement/agreement_voters.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_replication
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_replication
+from ebonytally.agreement import agreement_state
 from ebonytally import wire
 
 CAUGHT_UP_ENTRIES = 16
--- a/ebonytally/control_state.py
+++ b/ebonytally/agreement/control_state.py
@@ -5,8 +5,8 @@
 import attrs
 
 from ebonytally import config
-from ebonytally import plan_book
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_book
+from ebonytally.intents import plan_messages as messages
 from ebonytally import view
 from ebonytally import wire
 
--- a/ebonytally/leader_duties.py
+++ b/ebonytally/agreement/leader_duties.py
@@ -1,7 +1,7 @@
 """What the leader of the log proposes on its own account."""
 
 from ebonytally import commands
-from ebonytally import flow_placing
+from ebonytally.flows import flow_placing
 from ebonytally import settings
 from ebonytally import view
 
--- a/ebonytally/log_records.py
+++ b/ebonytally/agreement/log_records.py
@@ -14,7 +14,7 @@
 import attrs
 import msgpack
 
-from ebonytally import agreement_messages
+from ebonytally.agreement import agreement_messages
 
 MAX_RECORD_BYTES = 4 * 1024 * 1024
 _MARK = b"\xebTly"
--- a/ebonytally/log_storage.py
+++ b/ebonytally/agreement/log_storage.py
@@ -18,10 +18,10 @@
 
 import attrs
 
-from ebonytally import agreement_messages
+from ebonytally.agreement import agreement_messages
+from ebonytally.agreement import log_records
 from ebonytally import errors
 from ebonytally import events
-from ebonytally import log_records
 from ebonytally import ports
 from ebonytally import recorder as recorder_lib
 from ebonytally import wire
--- a/ebonytally/node_control.py
+++ b/ebonytally/agreement/node_control.py
@@ -3,16 +3,16 @@
 import functools
 
 from ebonytally import actions
-from ebonytally import agreement
-from ebonytally import control_runner
-from ebonytally import control_state
+from ebonytally.agreement import agreement
+from ebonytally.agreement import control_runner
+from ebonytally.agreement import control_state
+from ebonytally.agreement import proposals
 from ebonytally import errors
 from ebonytally import ports
-from ebonytally import proposals
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import settings
-from ebonytally import spread_messages
+from ebonytally.spread import spread_messages
 
 FORWARDED = "forwarded:"
 
--- a/ebonytally/proposals.py
+++ b/ebonytally/agreement/proposals.py
@@ -3,10 +3,10 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import agreement_results
+from ebonytally.agreement import agreement_results
 from ebonytally import reasons
 from ebonytally import recorder as recorders
-from ebonytally import spread_messages as messages
+from ebonytally.spread import spread_messages as messages
 from ebonytally import wire
 
 TIMEOUT_S = 3.0
--- a/ebonytally/recovery.py
+++ b/ebonytally/agreement/recovery.py
@@ -10,12 +10,12 @@
 
 import attrs
 
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_state
+from ebonytally.agreement import log_storage
 from ebonytally import commands
 from ebonytally import errors
 from ebonytally import events
-from ebonytally import log_storage
 from ebonytally import ports
 from ebonytally import recorder as recorder_lib
 from ebonytally import wire
--- /dev/null
+++ b/ebonytally/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/ebonytally/cli.py
+++ b/ebonytally/cli/cli.py
@@ -11,10 +11,10 @@
 import fire
 from fire import core as fire_core
 
-from ebonytally import cli_calls as calls
-from ebonytally import cli_client
-from ebonytally import cli_help
-from ebonytally import cli_text
+from ebonytally.cli import cli_calls as calls
+from ebonytally.cli import cli_client
+from ebonytally.cli import cli_help
+from ebonytally.cli import cli_text
 from ebonytally import errors
 
 EXIT_DONE = 0
@@ -172,7 +172,7 @@
 
 
 def _mend(call: calls.Repair | calls.Recover, options: _Options) -> int:
-    from ebonytally import cli_repair
+    from ebonytally.cli import cli_repair
     from ebonytally import settings
 
     mend = cli_repair.recover
--- a/ebonytally/cli_repair.py
+++ b/ebonytally/cli/cli_repair.py
@@ -10,11 +10,11 @@
 
 import attrs
 
+from ebonytally.agreement import recovery
 from ebonytally import disk_files
 from ebonytally import errors
 from ebonytally import folder_lock
 from ebonytally import recorder as recorders
-from ebonytally import recovery
 from ebonytally import settings
 
 
--- a/ebonytally/config.py
+++ b/ebonytally/config.py
@@ -12,7 +12,7 @@
 from ebonytally import commands
 from ebonytally import config_keepers
 from ebonytally import config_tables
-from ebonytally import flow_table
+from ebonytally.flows import flow_table
 from ebonytally import view
 from ebonytally import view_find
 
--- a/ebonytally/config_tables.py
+++ b/ebonytally/config_tables.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ebonytally import flow_table
+from ebonytally.flows import flow_table
 from ebonytally import view
 from ebonytally import view_find
 
--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -4,9 +4,9 @@
 import functools
 
 from ebonytally import actions
-from ebonytally import agreement
+from ebonytally.agreement import agreement
+from ebonytally.agreement import control_runner
 from ebonytally.configuration import machine as machines
-from ebonytally import control_runner
 from ebonytally import deployment as deployments
 from ebonytally import entry_node
 from ebonytally.feed import messages as feed_messages
--- a/ebonytally/control_role.py
+++ b/ebonytally/control_role.py
@@ -4,8 +4,8 @@
 import contextlib
 
 from ebonytally import actions
+from ebonytally.agreement import control_task
 from ebonytally import control_node
-from ebonytally import control_task
 from ebonytally import deployment as deployments
 from ebonytally import disk_files
 from ebonytally import disk_threads
--- a/ebonytally/daemon.py
+++ b/ebonytally/daemon.py
@@ -11,24 +11,24 @@
 from gevent import event as gevent_event
 
 from ebonytally import actions
-from ebonytally import announce_http
-from ebonytally import control_task
+from ebonytally.agreement import control_task
 from ebonytally import daemon_ports
 from ebonytally import disk_files
 from ebonytally import disk_threads
 from ebonytally import errors
 from ebonytally import events
 from ebonytally import folder_lock
-from ebonytally import health_http
-from ebonytally import intent_http
+from ebonytally.intents import intent_http
 from ebonytally import live_recorder
 from ebonytally import node as nodes
 from ebonytally import node_store
 from ebonytally import packet_socket
 from ebonytally import peers
-from ebonytally import request_http
+from ebonytally.requests import request_http
 from ebonytally import settings
 from ebonytally import system_clock
+from ebonytally.upstreams import announce_http
+from ebonytally.upstreams import health_http
 from ebonytally import view
 
 TICK_S = 0.05
--- a/ebonytally/daemon_ports.py
+++ b/ebonytally/daemon_ports.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 
 from ebonytally import actions
-from ebonytally import intent_requests
+from ebonytally.intents import intent_requests
 from ebonytally import node as nodes
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import recorder as recorders
-from ebonytally import request_head
+from ebonytally.requests import request_head
 from ebonytally import status
 from ebonytally import view
 
--- /dev/null
+++ b/ebonytally/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flows by slot tables and their keepers."""
--- a/ebonytally/flow_exits.py
+++ b/ebonytally/flows/flow_exits.py
@@ -3,12 +3,12 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import flow_held
-from ebonytally import flow_messages
-from ebonytally import flow_packet
-from ebonytally import flow_recent
-from ebonytally import flow_routes
-from ebonytally import flow_site
+from ebonytally.flows import flow_held
+from ebonytally.flows import flow_messages
+from ebonytally.flows import flow_packet
+from ebonytally.flows import flow_recent
+from ebonytally.flows import flow_routes
+from ebonytally.flows import flow_site
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 
--- a/ebonytally/flow_handover.py
+++ b/ebonytally/flows/flow_handover.py
@@ -11,12 +11,12 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import flow_keepers
-from ebonytally import flow_messages
-from ebonytally import flow_promises
-from ebonytally import flow_records
-from ebonytally import flow_routes
-from ebonytally import flow_site
+from ebonytally.flows import flow_keepers
+from ebonytally.flows import flow_messages
+from ebonytally.flows import flow_promises
+from ebonytally.flows import flow_records
+from ebonytally.flows import flow_routes
+from ebonytally.flows import flow_site
 from ebonytally import view
 
 ASK_INTERVAL_S = 0.25
--- a/ebonytally/flow_held.py
+++ b/ebonytally/flows/flow_held.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from ebonytally import flow_keepers
-from ebonytally import flow_packet
-from ebonytally import flow_recent
-from ebonytally import flow_routes
+from ebonytally.flows import flow_keepers
+from ebonytally.flows import flow_packet
+from ebonytally.flows import flow_recent
+from ebonytally.flows import flow_routes
 
 
 @attrs.define
--- a/ebonytally/flow_limits.py
+++ b/ebonytally/flows/flow_limits.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from ebonytally import flow_records
-from ebonytally import flow_routes
-from ebonytally import flow_site
+from ebonytally.flows import flow_records
+from ebonytally.flows import flow_routes
+from ebonytally.flows import flow_site
 from ebonytally import view
 
 FIRST = 0
--- a/ebonytally/flow_pins.py
+++ b/ebonytally/flows/flow_pins.py
@@ -11,12 +11,12 @@
 
 from ebonytally import actions
 from ebonytally import commands
-from ebonytally import flow_handover
-from ebonytally import flow_messages
-from ebonytally import flow_promises
-from ebonytally import flow_records
-from ebonytally import flow_routes
-from ebonytally import flow_site
+from ebonytally.flows import flow_handover
+from ebonytally.flows import flow_messages
+from ebonytally.flows import flow_promises
+from ebonytally.flows import flow_records
+from ebonytally.flows import flow_routes
+from ebonytally.flows import flow_site
 from ebonytally import view
 
 INTERVAL_S = 1.0
--- a/ebonytally/flow_promises.py
+++ b/ebonytally/flows/flow_promises.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
-from ebonytally import flow_messages
-from ebonytally import flow_routes
+from ebonytally.flows import flow_messages
+from ebonytally.flows import flow_routes
 from ebonytally import view
 
 
--- a/ebonytally/flow_routes.py
+++ b/ebonytally/flows/flow_routes.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ebonytally import flow_keepers
-from ebonytally import flow_packet
+from ebonytally.flows import flow_keepers
+from ebonytally.flows import flow_packet
 from ebonytally import view
 
 _MIX = 0x9E3779B97F4A7C15
--- a/ebonytally/flow_site.py
+++ b/ebonytally/flows/flow_site.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ebonytally import flow_keepers
+from ebonytally.flows import flow_keepers
 from ebonytally import view
 
 MAX_FORMER = 10_000
--- a/ebonytally/flows.py
+++ b/ebonytally/flows/flows.py
@@ -7,20 +7,20 @@
 
 from ebonytally import actions
 from ebonytally import commands
-from ebonytally import flow_exits
-from ebonytally import flow_handover
-from ebonytally import flow_held
-from ebonytally import flow_keeper
-from ebonytally import flow_keepers
-from ebonytally import flow_limits
-from ebonytally import flow_messages
-from ebonytally import flow_packet
-from ebonytally import flow_pins
-from ebonytally import flow_promises
-from ebonytally import flow_recent
-from ebonytally import flow_records
-from ebonytally import flow_routes
-from ebonytally import flow_site
+from ebonytally.flows import flow_exits
+from ebonytally.flows import flow_handover
+from ebonytally.flows import flow_held
+from ebonytally.flows import flow_keeper
+from ebonytally.flows import flow_keepers
+from ebonytally.flows import flow_limits
+from ebonytally.flows import flow_messages
+from ebonytally.flows import flow_packet
+from ebonytally.flows import flow_pins
+from ebonytally.flows import flow_promises
+from ebonytally.flows import flow_recent
+from ebonytally.flows import flow_records
+from ebonytally.flows import flow_routes
+from ebonytally.flows import flow_site
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import settings
--- /dev/null
+++ b/ebonytally/intents/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' intents, plans and their HTTP interface."""
--- a/ebonytally/intent_http.py
+++ b/ebonytally/intents/intent_http.py
@@ -17,11 +17,11 @@
 from ebonytally import errors
 from ebonytally import events
 from ebonytally import http_bounds
-from ebonytally import intent_json
-from ebonytally import intent_requests as requests
-from ebonytally import intents
-from ebonytally import operator_tokens
-from ebonytally import plan_messages as messages
+from ebonytally.intents import intent_json
+from ebonytally.intents import intent_requests as requests
+from ebonytally.intents import intents
+from ebonytally.intents import operator_tokens
+from ebonytally.intents import plan_messages as messages
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import settings
--- a/ebonytally/intent_json.py
+++ b/ebonytally/intents/intent_json.py
@@ -8,8 +8,8 @@
 from cattrs import gen
 
 from ebonytally import errors
-from ebonytally import plan_messages as messages
-from ebonytally import plan_text
+from ebonytally.intents import plan_messages as messages
+from ebonytally.intents import plan_text
 from ebonytally import view
 
 MAX_ID = 64
--- a/ebonytally/intent_requests.py
+++ b/ebonytally/intents/intent_requests.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_messages as messages
 
 
 @attrs.frozen
--- a/ebonytally/intents.py
+++ b/ebonytally/intents/intents.py
@@ -10,8 +10,8 @@
 
 from ebonytally import actions
 from ebonytally import events
-from ebonytally import intent_requests as requests
-from ebonytally import plan_messages as messages
+from ebonytally.intents import intent_requests as requests
+from ebonytally.intents import plan_messages as messages
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import settings
--- a/ebonytally/plan_answers.py
+++ b/ebonytally/intents/plan_answers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_messages as messages
 
 MAX_ANSWERS = 512
 MAX_ANSWERS_PER_OPERATOR = 64
--- a/ebonytally/plan_book.py
+++ b/ebonytally/intents/plan_book.py
@@ -8,12 +8,12 @@
 import attrs
 from returns import result
 
-from ebonytally import plan_answers
-from ebonytally import plan_checks
-from ebonytally import plan_messages as messages
-from ebonytally import plan_refusals
-from ebonytally import plan_warnings
-from ebonytally import plans
+from ebonytally.intents import plan_answers
+from ebonytally.intents import plan_checks
+from ebonytally.intents import plan_messages as messages
+from ebonytally.intents import plan_refusals
+from ebonytally.intents import plan_warnings
+from ebonytally.intents import plans
 from ebonytally import reasons
 from ebonytally import view
 from ebonytally import wire
--- a/ebonytally/plan_capacity.py
+++ b/ebonytally/intents/plan_capacity.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_messages as messages
 from ebonytally import view
 from ebonytally import view_find
 
--- a/ebonytally/plan_checks.py
+++ b/ebonytally/intents/plan_checks.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from ebonytally import commands
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_messages as messages
 from ebonytally import settings
 from ebonytally import view
 from ebonytally import view_find
--- a/ebonytally/plan_refusals.py
+++ b/ebonytally/intents/plan_refusals.py
@@ -1,6 +1,6 @@
 """Refusals of intents and confirmations, in words."""
 
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_messages as messages
 from ebonytally import reasons
 
 
--- a/ebonytally/plan_text.py
+++ b/ebonytally/intents/plan_text.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_messages as messages
 
 _STATES = {
     messages.PlanState.OPEN: "open: nothing has changed yet",
--- a/ebonytally/plan_warnings.py
+++ b/ebonytally/intents/plan_warnings.py
@@ -2,8 +2,8 @@
 
 import typing
 
-from ebonytally import plan_capacity
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_capacity
+from ebonytally.intents import plan_messages as messages
 from ebonytally import view
 
 _SEVERE = (
--- a/ebonytally/plans.py
+++ b/ebonytally/intents/plans.py
@@ -5,10 +5,10 @@
 from returns import result
 
 from ebonytally import config
-from ebonytally import plan_capacity
-from ebonytally import plan_checks
-from ebonytally import plan_messages as messages
-from ebonytally import plan_warnings
+from ebonytally.intents import plan_capacity
+from ebonytally.intents import plan_checks
+from ebonytally.intents import plan_messages as messages
+from ebonytally.intents import plan_warnings
 from ebonytally import view
 from ebonytally import view_find
 
--- a/ebonytally/node.py
+++ b/ebonytally/node.py
@@ -10,24 +10,24 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import agreement
-from ebonytally import control_runner
-from ebonytally import control_state
-from ebonytally import flows
-from ebonytally import intents
-from ebonytally import leader_duties
-from ebonytally import members
-from ebonytally import node_control
+from ebonytally.agreement import agreement
+from ebonytally.agreement import control_runner
+from ebonytally.agreement import control_state
+from ebonytally.agreement import leader_duties
+from ebonytally.agreement import node_control
+from ebonytally.flows import flows
+from ebonytally.intents import intents
+from ebonytally.intents import plan_messages
 from ebonytally import node_store
 from ebonytally import own_mark
-from ebonytally import plan_messages
 from ebonytally import ports
 from ebonytally import recorder as recorders
-from ebonytally import requests
+from ebonytally.requests import requests
 from ebonytally import settings
-from ebonytally import spread
+from ebonytally.spread import members
+from ebonytally.spread import spread
 from ebonytally import status
-from ebonytally import upstreams
+from ebonytally.upstreams import upstreams
 from ebonytally import view
 from ebonytally import wire
 
--- a/ebonytally/node_store.py
+++ b/ebonytally/node_store.py
@@ -1,12 +1,12 @@
 """What an entry VM keeps of the view, and its count of starts."""
 
+from ebonytally.agreement import leader_duties
 from ebonytally import errors
-from ebonytally import leader_duties
 from ebonytally import ports
 from ebonytally import settings
-from ebonytally import spread
-from ebonytally import spread_history
-from ebonytally import spread_messages
+from ebonytally.spread import spread
+from ebonytally.spread import spread_history
+from ebonytally.spread import spread_messages
 from ebonytally import view
 from ebonytally import wire
 
--- /dev/null
+++ b/ebonytally/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: admission, dispatch, retries, idempotency keys."""
--- a/ebonytally/key_claims.py
+++ b/ebonytally/requests/key_claims.py
@@ -5,12 +5,12 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import key_messages as messages
-from ebonytally import key_sync
-from ebonytally import keys
 from ebonytally import reasons
 from ebonytally import recorder as recorders
-from ebonytally import request_head
+from ebonytally.requests import key_messages as messages
+from ebonytally.requests import key_sync
+from ebonytally.requests import keys
+from ebonytally.requests import request_head
 
 AGAIN_S = 0.1
 REPORT_AGAIN_S = 0.5
--- a/ebonytally/key_places.py
+++ b/ebonytally/requests/key_places.py
@@ -3,7 +3,7 @@
 import attrs
 import xxhash
 
-from ebonytally import key_id
+from ebonytally.requests import key_id
 from ebonytally import view as views
 
 
--- a/ebonytally/key_records.py
+++ b/ebonytally/requests/key_records.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ebonytally import key_id
-from ebonytally import key_messages as messages
+from ebonytally.requests import key_id
+from ebonytally.requests import key_messages as messages
 
 MAX_ANSWERS_BYTES = 32 * 1024 * 1024
 _State = messages.KeyState
--- a/ebonytally/key_sync.py
+++ b/ebonytally/requests/key_sync.py
@@ -11,9 +11,9 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import key_messages as messages
-from ebonytally import key_places
-from ebonytally import key_records
+from ebonytally.requests import key_messages as messages
+from ebonytally.requests import key_places
+from ebonytally.requests import key_records
 from ebonytally import settings
 from ebonytally import view as views
 
--- a/ebonytally/keys.py
+++ b/ebonytally/requests/keys.py
@@ -3,11 +3,11 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import key_id
-from ebonytally import key_messages as messages
-from ebonytally import key_places
-from ebonytally import key_records
-from ebonytally import key_sync
+from ebonytally.requests import key_id
+from ebonytally.requests import key_messages as messages
+from ebonytally.requests import key_places
+from ebonytally.requests import key_records
+from ebonytally.requests import key_sync
 from ebonytally import settings
 from ebonytally import view as views
 
--- a/ebonytally/request_answer.py
+++ b/ebonytally/requests/request_answer.py
@@ -2,12 +2,12 @@
 
 from ebonytally import actions
 from ebonytally import events
-from ebonytally import key_claims
-from ebonytally import key_messages
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import recorder as recorders
-from ebonytally import request_head
+from ebonytally.requests import key_claims
+from ebonytally.requests import key_messages
+from ebonytally.requests import request_head
 
 RETRY_AFTER_S = 1.0
 _NOT_RUN_STATUS = {
--- a/ebonytally/request_client.py
+++ b/ebonytally/requests/request_client.py
@@ -9,8 +9,8 @@
 
 from ebonytally import actions
 from ebonytally import ports
-from ebonytally import request_exchange
-from ebonytally import request_pool
+from ebonytally.requests import request_exchange
+from ebonytally.requests import request_pool
 
 WHOLE_BYTES = 64 * 1024
 READ_BYTES = 64 * 1024
--- a/ebonytally/request_exchange.py
+++ b/ebonytally/requests/request_exchange.py
@@ -9,7 +9,7 @@
 from ebonytally import actions
 from ebonytally import ports
 from ebonytally import reasons
-from ebonytally import request_head
+from ebonytally.requests import request_head
 
 REQUEST_ID = "Request-Id"
 ATTEMPT = "Attempt"
--- a/ebonytally/request_handler.py
+++ b/ebonytally/requests/request_handler.py
@@ -13,7 +13,7 @@
 import gevent.socket
 
 from ebonytally import reasons
-from ebonytally import request_exchange
+from ebonytally.requests import request_exchange
 
 MAX_HEADER_BYTES = 16 * 1024
 HEADER_TIMEOUT_S = 10.0
--- a/ebonytally/request_http.py
+++ b/ebonytally/requests/request_http.py
@@ -12,10 +12,10 @@
 from ebonytally import actions
 from ebonytally import ports
 from ebonytally import reasons
-from ebonytally import request_client
-from ebonytally import request_exchange
-from ebonytally import request_handler
-from ebonytally import request_head
+from ebonytally.requests import request_client
+from ebonytally.requests import request_exchange
+from ebonytally.requests import request_handler
+from ebonytally.requests import request_head
 from ebonytally import settings
 
 IDEMPOTENT_METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PUT"})
--- a/ebonytally/request_keys.py
+++ b/ebonytally/requests/request_keys.py
@@ -3,14 +3,14 @@
 import random
 
 from ebonytally import actions
-from ebonytally import key_claims
-from ebonytally import key_id
-from ebonytally import key_messages as messages
-from ebonytally import key_sync
-from ebonytally import keys
 from ebonytally import reasons
 from ebonytally import recorder as recorders
-from ebonytally import request_head
+from ebonytally.requests import key_claims
+from ebonytally.requests import key_id
+from ebonytally.requests import key_messages as messages
+from ebonytally.requests import key_sync
+from ebonytally.requests import keys
+from ebonytally.requests import request_head
 from ebonytally import settings
 from ebonytally import view as views
 
--- a/ebonytally/request_live.py
+++ b/ebonytally/requests/request_live.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ebonytally import reasons
-from ebonytally import request_head
+from ebonytally.requests import request_head
 
 
 @attrs.define
--- a/ebonytally/request_queue.py
+++ b/ebonytally/requests/request_queue.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ebonytally import request_head
+from ebonytally.requests import request_head
 
 LATEST = 32
 AVERAGE_OVER = 16.0
--- a/ebonytally/requests.py
+++ b/ebonytally/requests/requests.py
@@ -6,17 +6,17 @@
 """
 
 from ebonytally import actions
-from ebonytally import key_claims
-from ebonytally import key_messages
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import recorder as recorders
-from ebonytally import request_answer
-from ebonytally import request_head
-from ebonytally import request_keys
-from ebonytally import request_live
-from ebonytally import request_queue
-from ebonytally import request_retry
+from ebonytally.requests import key_claims
+from ebonytally.requests import key_messages
+from ebonytally.requests import request_answer
+from ebonytally.requests import request_head
+from ebonytally.requests import request_keys
+from ebonytally.requests import request_live
+from ebonytally.requests import request_queue
+from ebonytally.requests import request_retry
 from ebonytally import settings
 from ebonytally import view as views
 
--- /dev/null
+++ b/ebonytally/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Members, and how the configuration reaches all of them."""
--- a/ebonytally/members.py
+++ b/ebonytally/spread/members.py
@@ -12,9 +12,9 @@
 
 from ebonytally import actions
 from ebonytally import events
-from ebonytally import member_messages as messages
 from ebonytally import recorder as recorders
 from ebonytally import settings
+from ebonytally.spread import member_messages as messages
 from ebonytally import view
 
 PERIOD_S = 0.5
--- a/ebonytally/spread.py
+++ b/ebonytally/spread/spread.py
@@ -18,9 +18,9 @@
 from ebonytally import reasons
 from ebonytally import recorder as recorders
 from ebonytally import settings
-from ebonytally import spread_history
-from ebonytally import spread_messages as messages
-from ebonytally import spread_tree
+from ebonytally.spread import spread_history
+from ebonytally.spread import spread_messages as messages
+from ebonytally.spread import spread_tree
 from ebonytally import view
 from ebonytally import wire
 
--- a/ebonytally/spread_history.py
+++ b/ebonytally/spread/spread_history.py
@@ -4,7 +4,7 @@
 import zlib
 
 from ebonytally import config
-from ebonytally import spread_messages as messages
+from ebonytally.spread import spread_messages as messages
 from ebonytally import view
 from ebonytally import wire
 
--- a/ebonytally/status.py
+++ b/ebonytally/status.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_messages as messages
 
 
 @attrs.frozen
--- a/ebonytally/status_lines.py
+++ b/ebonytally/status_lines.py
@@ -1,7 +1,7 @@
 """The ten lines of a status."""
 
-from ebonytally import plan_messages as messages
-from ebonytally import plan_text
+from ebonytally.intents import plan_messages as messages
+from ebonytally.intents import plan_text
 from ebonytally import status
 from ebonytally import view
 from ebonytally import view_find
--- a/ebonytally/status_verdict.py
+++ b/ebonytally/status_verdict.py
@@ -1,7 +1,7 @@
 """How things stand and what to do next, found from view and facts."""
 
-from ebonytally import plan_capacity
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_capacity
+from ebonytally.intents import plan_messages as messages
 from ebonytally import status
 from ebonytally import status_lines
 from ebonytally import view
--- /dev/null
+++ b/ebonytally/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: announcements, health, warm-up, lent slots."""
--- a/ebonytally/announce_http.py
+++ b/ebonytally/upstreams/announce_http.py
@@ -12,8 +12,8 @@
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import recorder as recorders
-from ebonytally import upstream_announce
-from ebonytally import upstreams
+from ebonytally.upstreams import upstream_announce
+from ebonytally.upstreams import upstreams
 
 PATH = "/v1/announcements"
 MAX_CONNECTIONS = 256
--- a/ebonytally/health_http.py
+++ b/ebonytally/upstreams/health_http.py
@@ -7,7 +7,7 @@
 from geventhttpclient import HTTPClient
 
 from ebonytally import ports
-from ebonytally import upstreams
+from ebonytally.upstreams import upstreams
 from ebonytally import view
 
 EVERY_S = 1.0
--- a/ebonytally/slot_broker.py
+++ b/ebonytally/upstreams/slot_broker.py
@@ -6,13 +6,13 @@
 """
 
 from ebonytally import settings
-from ebonytally import slot_ledger
-from ebonytally import slot_lent
-from ebonytally import slot_messages
-from ebonytally import slot_moves
-from ebonytally import upstream_choice
+from ebonytally.upstreams import slot_ledger
+from ebonytally.upstreams import slot_lent
+from ebonytally.upstreams import slot_messages
+from ebonytally.upstreams import slot_moves
+from ebonytally.upstreams import upstream_choice
+from ebonytally.upstreams import warmup
 from ebonytally import view
-from ebonytally import warmup
 
 RESEND_S = 0.1
 ANSWER_PART = 0.2
--- a/ebonytally/slot_held.py
+++ b/ebonytally/upstreams/slot_held.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ebonytally import slot_messages
+from ebonytally.upstreams import slot_messages
 
 
 @attrs.define
--- a/ebonytally/slot_holder.py
+++ b/ebonytally/upstreams/slot_holder.py
@@ -8,11 +8,11 @@
 import math
 
 from ebonytally import settings
-from ebonytally import slot_held
-from ebonytally import slot_messages
-from ebonytally import slot_reports
-from ebonytally import slot_stock
-from ebonytally import upstream_health
+from ebonytally.upstreams import slot_held
+from ebonytally.upstreams import slot_messages
+from ebonytally.upstreams import slot_reports
+from ebonytally.upstreams import slot_stock
+from ebonytally.upstreams import upstream_health
 from ebonytally import view
 
 IDLE_S = 0.1
--- a/ebonytally/slot_ledger.py
+++ b/ebonytally/upstreams/slot_ledger.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ebonytally import slot_messages
+from ebonytally.upstreams import slot_messages
 
 
 @attrs.define
--- a/ebonytally/slot_lent.py
+++ b/ebonytally/upstreams/slot_lent.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from ebonytally import slot_ledger
-from ebonytally import slot_messages
+from ebonytally.upstreams import slot_ledger
+from ebonytally.upstreams import slot_messages
+from ebonytally.upstreams import warmup
 from ebonytally import view
-from ebonytally import warmup
 
 LONGEST_OF_USUAL = 10
 SHORTEST_HOLD_S = 0.5
--- a/ebonytally/slot_reports.py
+++ b/ebonytally/upstreams/slot_reports.py
@@ -3,9 +3,9 @@
 import math
 
 from ebonytally import settings
-from ebonytally import slot_held
-from ebonytally import slot_messages
-from ebonytally import slot_stock
+from ebonytally.upstreams import slot_held
+from ebonytally.upstreams import slot_messages
+from ebonytally.upstreams import slot_stock
 
 RENEW_PART = 0.3
 STARVING_GAP_S = 0.05
--- a/ebonytally/slot_stock.py
+++ b/ebonytally/upstreams/slot_stock.py
@@ -1,10 +1,10 @@
 """The slots that this entry VM holds, and what it knows of upstreams."""
 
 from ebonytally import settings
-from ebonytally import slot_held
-from ebonytally import slot_messages
-from ebonytally import upstream_choice
-from ebonytally import upstream_health
+from ebonytally.upstreams import slot_held
+from ebonytally.upstreams import slot_messages
+from ebonytally.upstreams import upstream_choice
+from ebonytally.upstreams import upstream_health
 from ebonytally import view
 
 
--- a/ebonytally/upstream_register.py
+++ b/ebonytally/upstreams/upstream_register.py
@@ -11,8 +11,8 @@
 from ebonytally import commands
 from ebonytally import reasons
 from ebonytally import settings
-from ebonytally import slot_messages
-from ebonytally import upstream_announce as announce
+from ebonytally.upstreams import slot_messages
+from ebonytally.upstreams import upstream_announce as announce
 from ebonytally import view
 
 PROPOSE_AGAIN_S = 1.0
--- a/ebonytally/upstreams.py
+++ b/ebonytally/upstreams/upstreams.py
@@ -8,12 +8,12 @@
 from ebonytally import ports
 from ebonytally import recorder as recorders
 from ebonytally import settings
-from ebonytally import slot_broker
-from ebonytally import slot_holder
-from ebonytally import slot_messages
-from ebonytally import upstream_announce as announce
-from ebonytally import upstream_health
-from ebonytally import upstream_register
+from ebonytally.upstreams import slot_broker
+from ebonytally.upstreams import slot_holder
+from ebonytally.upstreams import slot_messages
+from ebonytally.upstreams import upstream_announce as announce
+from ebonytally.upstreams import upstream_health
+from ebonytally.upstreams import upstream_register
 from ebonytally import view
 
 MAX_BOOT = 2**31
--- a/standins/scenario_steps.py
+++ b/standins/scenario_steps.py
@@ -9,9 +9,9 @@
 import attrs
 import parse
 
-from ebonytally import control_state
-from ebonytally import intent_requests
-from ebonytally import plan_messages
+from ebonytally.agreement import control_state
+from ebonytally.intents import intent_requests
+from ebonytally.intents import plan_messages
 from ebonytally import view
 from standins import world as worlds
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -18,7 +18,7 @@
 from ebonytally import node_store
 from ebonytally import recorder as recorders
 from ebonytally import settings
-from ebonytally import upstream_announce
+from ebonytally.upstreams import upstream_announce
 from standins import deployment
 from standins import judge as judges
 from standins import packets
--- a/standins/world_requests.py
+++ b/standins/world_requests.py
@@ -7,10 +7,10 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import intent_requests
-from ebonytally import plan_messages
+from ebonytally.intents import intent_requests
+from ebonytally.intents import plan_messages
 from ebonytally import ports
-from ebonytally import request_head
+from ebonytally.requests import request_head
 from standins import callers
 from standins import judge as judges
 from standins import reports
--- a/tests/agreement_fakes.py
+++ b/tests/agreement_fakes.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ebonytally import actions
-from ebonytally import agreement
+from ebonytally.agreement import agreement
 from ebonytally import commands
 from ebonytally import errors
 from ebonytally import recorder
--- a/tests/flow_bed.py
+++ b/tests/flow_bed.py
@@ -15,10 +15,10 @@
 from ebonytally import actions
 from ebonytally import commands
 from ebonytally import config
-from ebonytally import flow_messages
-from ebonytally import flow_packet
-from ebonytally import flow_placing
-from ebonytally import flows
+from ebonytally.flows import flow_messages
+from ebonytally.flows import flow_packet
+from ebonytally.flows import flow_placing
+from ebonytally.flows import flows
 from ebonytally import recorder
 from ebonytally import settings
 from ebonytally import view
--- a/tests/intent_fakes.py
+++ b/tests/intent_fakes.py
@@ -4,12 +4,12 @@
 import itertools
 
 from ebonytally import actions
+from ebonytally.agreement import control_state
 from ebonytally import commands
-from ebonytally import control_state
-from ebonytally import intent_http
-from ebonytally import intent_requests as requests
-from ebonytally import intents
-from ebonytally import plan_messages as messages
+from ebonytally.intents import intent_http
+from ebonytally.intents import intent_requests as requests
+from ebonytally.intents import intents
+from ebonytally.intents import plan_messages as messages
 from ebonytally import recorder as recorders
 from ebonytally import settings
 from ebonytally import status
--- a/tests/key_cluster.py
+++ b/tests/key_cluster.py
@@ -12,8 +12,8 @@
 from ebonytally import config
 from ebonytally import ports
 from ebonytally import recorder
-from ebonytally import request_head
-from ebonytally import requests
+from ebonytally.requests import request_head
+from ebonytally.requests import requests
 from ebonytally import settings
 from ebonytally import view
 
--- a/tests/log_replay.py
+++ b/tests/log_replay.py
@@ -3,8 +3,8 @@
 import zlib
 
 from ebonytally import actions
-from ebonytally import agreement_messages as messages
-from ebonytally import agreement_state
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import agreement_state
 from ebonytally import wire
 from modelcheck import log_state
 from tests import agreement_fakes as fakes
--- a/tests/test_agreement_log.py
+++ b/tests/test_agreement_log.py
@@ -1,6 +1,6 @@
 """Agreement: elections, proposals, catching up."""
 
-from ebonytally import agreement_messages as messages
+from ebonytally.agreement import agreement_messages as messages
 from ebonytally import settings
 from ebonytally import wire
 from tests import agreement_fakes as fakes
--- a/tests/test_agreement_storage.py
+++ b/tests/test_agreement_storage.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 import pytest
 
-from ebonytally import agreement_messages as messages
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import log_records
+from ebonytally.agreement import log_storage
+from ebonytally.agreement import recovery
 from ebonytally import errors
-from ebonytally import log_records
-from ebonytally import log_storage
 from ebonytally import recorder
-from ebonytally import recovery
 from tests import agreement_fakes as fakes
 
 SEEDS = int(os.environ.get("EBONYTALLY_SEEDS", "0"))
--- a/tests/test_agreement_voters.py
+++ b/tests/test_agreement_voters.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from ebonytally import agreement_messages as messages
+from ebonytally.agreement import agreement_messages as messages
+from ebonytally.agreement import recovery
 from ebonytally import commands
 from ebonytally import config
 from ebonytally import errors
 from ebonytally import events
 from ebonytally import recorder
-from ebonytally import recovery
 from ebonytally import view
 from tests import agreement_fakes as fakes
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,7 +8,7 @@
 from gevent import threadpool
 import pytest
 
-from ebonytally import cli
+from ebonytally.cli import cli
 from ebonytally import folder_lock
 from ebonytally import settings
 from tests import intent_fakes as fakes
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -3,10 +3,10 @@
 import attrs
 
 from ebonytally import actions
+from ebonytally.agreement import control_runner
 from ebonytally.configuration import machine as machines
 from ebonytally.configuration import model
 from ebonytally import control_node
-from ebonytally import control_runner
 from ebonytally import deployment
 from ebonytally import recorder as recorders
 from ebonytally.register import records
--- a/tests/test_flow_placing.py
+++ b/tests/test_flow_placing.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ebonytally import commands
-from ebonytally import flow_placing
+from ebonytally.flows import flow_placing
 from ebonytally import view
 
 
--- a/tests/test_flow_table.py
+++ b/tests/test_flow_table.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from ebonytally import flow_table
+from ebonytally.flows import flow_table
 from ebonytally import view
 
 SLOTS = 64
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -1,9 +1,9 @@
 """Flows through planned changes and the loss of entry VMs."""
 
-from ebonytally import flow_exits
-from ebonytally import flow_messages
-from ebonytally import flow_packet
-from ebonytally import flows
+from ebonytally.flows import flow_exits
+from ebonytally.flows import flow_messages
+from ebonytally.flows import flow_packet
+from ebonytally.flows import flows
 from ebonytally import recorder
 from ebonytally import view
 from tests import flow_bed
--- a/tests/test_intents_machine.py
+++ b/tests/test_intents_machine.py
@@ -11,10 +11,10 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from ebonytally.agreement import control_state
 from ebonytally import commands
-from ebonytally import control_state
-from ebonytally import plan_book
-from ebonytally import plan_messages as messages
+from ebonytally.intents import plan_book
+from ebonytally.intents import plan_messages as messages
 from ebonytally import view
 from tests import intent_fakes as fakes
 
--- a/tests/test_key_cases.py
+++ b/tests/test_key_cases.py
@@ -3,11 +3,11 @@
 import pytest
 
 from ebonytally import actions
-from ebonytally import key_id
-from ebonytally import key_messages
-from ebonytally import key_places
 from ebonytally import ports
 from ebonytally import reasons
+from ebonytally.requests import key_id
+from ebonytally.requests import key_messages
+from ebonytally.requests import key_places
 from ebonytally import view
 from ebonytally import wire
 from tests import key_cluster
--- a/tests/test_key_mutants.py
+++ b/tests/test_key_mutants.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from ebonytally import key_messages
-from ebonytally import key_places
-from ebonytally import key_records
-from ebonytally import key_sync
-from ebonytally import keys
 from ebonytally import ports
-from ebonytally import request_retry
+from ebonytally.requests import key_messages
+from ebonytally.requests import key_places
+from ebonytally.requests import key_records
+from ebonytally.requests import key_sync
+from ebonytally.requests import keys
+from ebonytally.requests import request_retry
 from tests import test_key_cases as cases
 
 GRANTED = key_messages.Verdict.GRANTED
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -3,7 +3,7 @@
 import collections
 
 from ebonytally import settings
-from ebonytally import warmup
+from ebonytally.upstreams import warmup
 from ebonytally import wire
 from standins import scenario
 from standins import scenario_steps
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ebonytally import members
 from ebonytally import recorder
+from ebonytally.spread import members
 from ebonytally import view
 from tests import virtual_net
 
--- a/tests/test_modelcheck_confirm.py
+++ b/tests/test_modelcheck_confirm.py
@@ -6,9 +6,9 @@
 import minicheck
 import pytest
 
+from ebonytally.agreement import control_state
 from ebonytally import commands
-from ebonytally import control_state
-from ebonytally import plan_messages
+from ebonytally.intents import plan_messages
 from ebonytally import view
 from modelcheck import confirm_model
 
--- a/tests/test_request_dispatch.py
+++ b/tests/test_request_dispatch.py
@@ -7,8 +7,8 @@
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import recorder
-from ebonytally import request_head
-from ebonytally import requests
+from ebonytally.requests import request_head
+from ebonytally.requests import requests
 from ebonytally import settings
 from ebonytally import view
 
--- a/tests/test_request_http.py
+++ b/tests/test_request_http.py
@@ -13,8 +13,8 @@
 
 from ebonytally import actions
 from ebonytally import ports
-from ebonytally import request_http
-from ebonytally import requests
+from ebonytally.requests import request_http
+from ebonytally.requests import requests
 from ebonytally import settings
 from tests import test_request_dispatch as dispatch_tests
 
--- a/tests/test_scenario_mutants.py
+++ b/tests/test_scenario_mutants.py
@@ -6,14 +6,14 @@
 import pytest
 
 from ebonytally import actions
-from ebonytally import flow_table
-from ebonytally import flows
+from ebonytally.flows import flow_table
+from ebonytally.flows import flows
 from ebonytally import node
-from ebonytally import requests
-from ebonytally import spread_history
-from ebonytally import upstream_announce
-from ebonytally import upstreams
-from ebonytally import warmup
+from ebonytally.requests import requests
+from ebonytally.spread import spread_history
+from ebonytally.upstreams import upstream_announce
+from ebonytally.upstreams import upstreams
+from ebonytally.upstreams import warmup
 from standins import scenario
 
 START = """\
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -4,9 +4,9 @@
 
 from ebonytally import commands
 from ebonytally import recorder
-from ebonytally import spread
-from ebonytally import spread_messages
-from ebonytally import spread_tree
+from ebonytally.spread import spread
+from ebonytally.spread import spread_messages
+from ebonytally.spread import spread_tree
 from ebonytally import view
 from ebonytally import wire
 from tests import virtual_net
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -3,8 +3,8 @@
 import attrs
 import pytest
 
+from ebonytally.agreement import control_state
 from ebonytally import commands
-from ebonytally import control_state
 from ebonytally import status
 from ebonytally import status_verdict
 from ebonytally import view
--- a/tests/test_upstream_announce.py
+++ b/tests/test_upstream_announce.py
@@ -8,8 +8,8 @@
 from ebonytally import reasons
 from ebonytally import recorder
 from ebonytally import settings
-from ebonytally import upstream_announce
-from ebonytally import upstreams
+from ebonytally.upstreams import upstream_announce
+from ebonytally.upstreams import upstreams
 from ebonytally import view
 
 SERVICE = view.Service("desk", "10.0.0.1", 80, 6, ("dc-1", "dc-2"))
--- a/tests/test_upstream_care.py
+++ b/tests/test_upstream_care.py
@@ -9,9 +9,9 @@
 from ebonytally import ports
 from ebonytally import reasons
 from ebonytally import settings
-from ebonytally import upstream_health
+from ebonytally.upstreams import upstream_health
+from ebonytally.upstreams import warmup
 from ebonytally import view
-from ebonytally import warmup
 from tests import upstream_fakes as fakes
 
 K = ports.AttemptKind
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -7,9 +7,9 @@
 import geventhttpclient
 import pytest
 
-from ebonytally import announce_http
-from ebonytally import health_http
-from ebonytally import upstream_announce
+from ebonytally.upstreams import announce_http
+from ebonytally.upstreams import health_http
+from ebonytally.upstreams import upstream_announce
 from ebonytally import view
 from tests import test_upstream_announce as said
 
--- a/tests/test_upstream_ledger.py
+++ b/tests/test_upstream_ledger.py
@@ -3,8 +3,8 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from ebonytally import slot_ledger
-from ebonytally import slot_messages
+from ebonytally.upstreams import slot_ledger
+from ebonytally.upstreams import slot_messages
 
 STEPS = st.one_of(
     st.tuples(st.just("lend"), st.integers(0, 3)),
