Check whole configurations and confirmed reads in a model

Not in the model: a data centre order that stays under way after its operator went on; the product sends orders to the leader over one connection for that reason.

--- a/modelcheck/__main__.py
+++ b/modelcheck/__main__.py
@@ -9,6 +9,7 @@
 from modelcheck import confirm_model
 from modelcheck import lease_model
 from modelcheck import log_model
+from modelcheck import read_model
 
 MAX_STATES = 1_000_000
 
@@ -17,11 +18,14 @@
     """Print states and verdict for each bound; 1 if any is unsafe."""
     logs = bounds.LOG_SMALL
     leases = bounds.LEASE_SMALL
+    reads = bounds.READ_SMALL
     if "--large" in argv:
         logs += bounds.LOG_LARGE
         leases += bounds.LEASE_LARGE
+        reads += bounds.READ_LARGE
     models = [(limit, log_model.LogModel(limit)) for limit in logs]
     models += [(limit, lease_model.LeaseModel(limit)) for limit in leases]
+    models += [(limit, read_model.ReadModel(limit)) for limit in reads]
     models.append(("Confirm()", confirm_model.ConfirmModel()))
     verdicts = [_check(limit, model) for limit, model in models]
     return 0 if all(verdicts) else 1
--- a/modelcheck/bounds.py
+++ b/modelcheck/bounds.py
@@ -2,10 +2,12 @@
 
 from modelcheck import lease_model
 from modelcheck import log_state
+from modelcheck import read_model
 
 TWO = (0, 1)
 Log = log_state.Bounds
 Lease = lease_model.Bounds
+Read = read_model.Bounds
 
 LOG_SMALL = (
     Log(terms=3, entries=2, crashes=0, candidates=TWO),
@@ -33,3 +35,8 @@
     Lease(ticks=4, out=False, exclude=True),
     Lease(ticks=2, out=True, exclude=True),
 )
+READ_SMALL = (
+    Read(terms=2, versions=1, wipes=False),
+    Read(terms=2, versions=1, wipes=True),
+)
+READ_LARGE = (Read(terms=2, versions=2, wipes=False),)
