--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -17,6 +17,7 @@
     "decide",
     "restart",
     "capacity",
+    "placing",
 )
 
 
--- a/tests/echo_bed.py
+++ b/tests/echo_bed.py
@@ -89,7 +89,7 @@
 class EntryVm:
     """An entry VM that follows some control VMs."""
 
-    def __init__(self, name, control_vms, seed=1):
+    def __init__(self, name, control_vms, seed=1, home="north"):
         self.name = name
         self.recorder = recorders.MemoryRecorder()
         self.control_vms = {one.name: one for one in control_vms}
@@ -101,7 +101,7 @@
             self.recorder,
         )
         self.placing = placing.Placing(
-            self.register, self.follower, 5.0, "north", seed
+            self.register, self.follower, 5.0, home, seed
         )
         self.forwarder = forwarder.Forwarder(
             self.register,
