Split cookies and load tracking from the forwarder

Moves within echo/, and one change of behaviour in the follower: the silence of a control VM is counted from the first poll without an answer, not from the last one, so that asking again doesn't make it look alive. No case was seen where that mattered; tests/test_feed.py holds the choice stable, calm and dark.

--- a/benches/bench_placing.py
+++ b/benches/bench_placing.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from ebonytally.echo import cookies
 from tests import echo_bed
 
 ENTRY_HOMES = ("a", "a", "b", "c", "d")
@@ -103,7 +104,7 @@
 
     def _packet(self, entry: int, flow: int, up: int, now, **about) -> None:
         record = self._control.register.get(f"i-{up + 1:08x}").record
-        cookie = echo_bed.forwarder.cookie_of(record)
+        cookie = cookies.cookie_of(record)
         self._take(entry, flow, now, cookie=cookie, **about)
 
 
--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -6,16 +6,16 @@
 and may be lost.
 """
 
-import collections
 import socket
 import struct
 
 import attrs
-import xxhash
 
 from ebonytally.configuration import model
+from ebonytally.echo import cookies
 from ebonytally.echo import packets
 from ebonytally.echo import placing as placings
+from ebonytally.echo import tracking
 from ebonytally import events
 from ebonytally.feed import follower as followers
 from ebonytally import recorder as recorders
@@ -28,10 +28,7 @@
 MAX_TRIES = 3
 # A caller gives an attempt up after 1.4 s.
 OPENING_S = 1.5
-# An answer that takes longer is not counted as load any more.
-BUSY_S = 5.0
 SWEEP_S = 1.0
-MAX_FLOWS = 200_000
 MAX_OPENINGS = 20_000
 
 Out = list[packets.ToUpstream | packets.Reset]
@@ -49,20 +46,6 @@
     began_at: float
 
 
-@attrs.define
-class _Flow:
-    """An open flow.
-
-    :param expects: caller's acknowledgement when its request went out
-    :param busy_since: seconds; 0 while no answer is awaited
-    """
-
-    upstream: str
-    last_at: float
-    expects: int = 0
-    busy_since: float = 0.0
-
-
 class Forwarder:
     """Decides on each packet."""
 
@@ -78,22 +61,17 @@
         self._follower = follower
         self._placing = placing
         self._recorder = recorder
-        self._seen = 0
-        self._cookies: dict[int, str] = {}
+        self._cookies = cookies.Cookies(register, recorder)
+        self._tracking = tracking.Tracking(placing, recorder)
         self._version = 0
         self._routes: dict[bytes, model.Route] = {}
         self._openings: dict[bytes, _Opening] = {}
-        self._flows: collections.OrderedDict[bytes, _Flow] = (
-            collections.OrderedDict()
-        )
         self._swept_at = 0.0
         self.lacks = False
 
     def changed(self) -> None:
         """Take what the follower and the register have learned."""
-        for entry in self._register.changed_since(self._seen):
-            self._name(entry.record)
-        self._seen = self._register.revision
+        self._cookies.learn()
         if self._version != self._follower.view.version:
             self._version = self._follower.view.version
             self._routes = {
@@ -108,13 +86,14 @@
             return self._no_route(packet, now)
         if packet.opening:
             return self._open(packet, route, now)
-        entry = self._register.get(self._cookies.get(packet.cookie, ""))
+        entry = self._cookies.entry(packet.cookie)
         if entry is None:
             return self._unknown(packet)
         record = entry.record
         if record.state == records.State.GONE:
             return self._over(packet, record)
-        self._track(packet, record.id, now)
+        self._opened(packet.key, record.id, now)
+        self._tracking.note(packet, record.id, now)
         return [
             packets.ToUpstream(
                 record.id,
@@ -135,7 +114,9 @@
                 out += self._again(opening, "silent", now)
         if now - self._swept_at >= SWEEP_S:
             self._swept_at = now
-            self._sweep(now)
+            idle_s = self._follower.view.content.idle_timeout_s
+            self._tracking.sweep(idle_s, now)
+            self._cookies.sweep()
         return out
 
     # Opening.
@@ -207,8 +188,7 @@
         chosen = self._placing.choose(service, tried, now)
         if chosen is None:
             return None
-        if self._cookies.get(cookie_of(chosen)) != chosen.id:
-            # Another upstream has this cookie; its flows go first.
+        if not self._cookies.is_owner(chosen):
             return self._placing.choose(service, (*tried, chosen.id), now)
         return chosen
 
@@ -217,70 +197,14 @@
         for id_ in opening.tried:
             self._placing.load(id_).opening -= 1
 
-    # Flows.
-
-    def _track(self, packet: packets.Packet, id_: str, now: float) -> None:
-        """Note what a packet tells of its upstream's load."""
-        flow = self._flows.get(packet.key)
-        if flow is None:
-            opening = self._openings.get(packet.key)
-            if opening is not None:
-                self._given_up(packet.key, opening)
-                self._placing.load(id_).opened(now)
-                took_s = now - opening.began_at
-                self._recorder.measured("flow_opening", took_s)
-            if packet.ends or len(self._flows) >= MAX_FLOWS:
-                return
-            flow = self._flows[packet.key] = _Flow(id_, now)
-            self._placing.load(id_).flows += 1
-        flow.last_at = now
-        self._flows.move_to_end(packet.key)
-        if flow.busy_since and packet.ack != flow.expects:
-            self._recorder.measured("first_answer", now - flow.busy_since)
-            self._idle(flow)
-        if packet.size and not flow.busy_since:
-            flow.busy_since = now
-            flow.expects = packet.ack
-            self._placing.load(flow.upstream).busy += 1
-        if packet.ends:
-            self._close(packet.key, flow)
-
-    def _idle(self, flow: _Flow) -> None:
-        flow.busy_since = 0.0
-        self._placing.load(flow.upstream).busy -= 1
-
-    def _close(self, key: bytes, flow: _Flow) -> None:
-        if flow.busy_since:
-            self._idle(flow)
-        self._placing.load(flow.upstream).flows -= 1
-        del self._flows[key]
-
-    def _sweep(self, now: float) -> None:
-        idle_s = self._follower.view.content.idle_timeout_s
-        for key, flow in list(self._flows.items()):
-            if flow.busy_since and now - flow.busy_since > BUSY_S:
-                self._idle(flow)
-            if now - flow.last_at > idle_s:
-                self._close(key, flow)
-        if len(self._cookies) > 2 * len(self._register) + 1000:
-            self._cookies.clear()
-            for entry in self._register.entries():
-                self._name(entry.record)
-
-    def _name(self, record: records.Record) -> None:
-        """Give a cookie to one upstream, the same at all entry VMs."""
-        cookie = cookie_of(record)
-        other = self._cookies.get(cookie, record.id)
-        if other != record.id and self._register.get(other) is not None:
-            self._recorder.event(
-                events.Event.COOKIE_SHARED,
-                upstream=record.id,
-                other=other,
-            )
-            other = min(other, record.id)
-            self._cookies[cookie] = other
+    def _opened(self, key: bytes, id_: str, now: float) -> None:
+        """Note that a flow has opened, if it began here."""
+        opening = self._openings.get(key)
+        if opening is None:
             return
-        self._cookies[cookie] = record.id
+        self._given_up(key, opening)
+        self._placing.load(id_).opened(now)
+        self._recorder.measured("flow_opening", now - opening.began_at)
 
     # What isn't passed on.
 
@@ -344,9 +268,7 @@
         record: records.Record,
     ) -> Out:
         """Reset a flow whose upstream has ended."""
-        flow = self._flows.get(packet.key)
-        if flow is not None:
-            self._close(packet.key, flow)
+        self._tracking.close(packet.key)
         if packet.ends:
             return []
         self._recorder.event(
@@ -358,12 +280,6 @@
         return [packets.Reset(packet)]
 
 
-def cookie_of(record: records.Record) -> int:
-    """Return the cookie of an upstream, 1 to 2**32 - 1."""
-    text = f"{record.id} {record.address}:{record.port}"
-    return xxhash.xxh32_intdigest(text.encode()) or 1
-
-
 def place_of(route: model.Route) -> bytes:
     """Return a route's address and port as packets have them."""
     return socket.inet_aton(route.address) + _PORT.pack(route.port)
@@ -377,6 +293,6 @@
         record.id,
         record.address,
         record.port,
-        cookie_of(record),
+        cookies.cookie_of(record),
         packet,
     )
--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -34,6 +34,9 @@
     :param start: of the control VM, 0 for unknown
     :param revision: of its register, up to which all is known
     :param asked: number of the last poll
+    :param waits_since: seconds, first poll since the last answer
+    :param in_touch: it follows a leader, or is one
+    :param complete: all that it has was told at least once
     :param rtt_s: smoothed time of an answer
     """
 
@@ -42,11 +45,16 @@
     asked: int = 0
     asked_at: float = -1e9
     answered_at: float = -1e9
-    unanswered: int = 0
+    waits_since: float | None = None
     rtt_s: float = UNKNOWN_RTT_S
     in_touch: bool = False
     complete: bool = False
 
+    def quiet(self, now: float) -> bool:
+        """Return whether it owes an answer for too long."""
+        since = self.waits_since
+        return since is not None and now - since > ANSWER_S
+
 
 @attrs.define
 class _Fetch:
@@ -197,7 +205,7 @@
         else:
             source.rtt_s += RTT_GAIN * (took_s - source.rtt_s)
         source.answered_at = now
-        source.unanswered = 0
+        source.waits_since = None
         if source.in_touch != msg.in_touch or source.start != msg.start:
             self._recorder.event(
                 events.Event.CONTROL_VM_ANSWERS,
@@ -240,10 +248,7 @@
 
     def _is_quiet(self, name: str, now: float) -> bool:
         source = self._sources.get(name)
-        if source is None or not source.in_touch:
-            return True
-        waits = source.asked_at > source.answered_at
-        return waits and now - source.asked_at > ANSWER_S
+        return source is None or not source.in_touch or source.quiet(now)
 
     def _choose(self, now: float) -> None:
         """Make the best control VM the primary.
@@ -256,11 +261,7 @@
 
         def rank(name: str) -> tuple[bool, bool, float, str]:
             source = self._sources[name]
-            quiet = source.asked_at - source.answered_at > ANSWER_S or (
-                source.asked_at > source.answered_at
-                and now - source.asked_at > ANSWER_S
-            )
-            return (quiet, not source.in_touch, source.rtt_s, name)
+            return (source.quiet(now), not source.in_touch, source.rtt_s, name)
 
         best = min(self._sources, key=rank)
         if best != self._primary:
@@ -289,11 +290,11 @@
 
     def _poll(self, name: str, now: float) -> actions.Action:
         source = self._sources[name]
-        if source.asked_at > source.answered_at:
-            source.unanswered += 1
         self._asked += 1
         source.asked = self._asked
         source.asked_at = now
+        if source.waits_since is None:
+            source.waits_since = now
         poll = messages.Poll(
             source.asked,
             source.start,
--- a/tests/test_echo_flows.py
+++ b/tests/test_echo_flows.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ebonytally.configuration import model
-from ebonytally.echo import forwarder
+from ebonytally.echo import cookies
 from ebonytally.echo import packets
 from tests import echo_bed as beds
 
@@ -33,7 +33,7 @@
     entry.dark = {"c1"}
     control.register.announced(beds.announcement(9), entry.now)
     record = control.register.get("i-00000009").record
-    cookie = forwarder.cookie_of(record)
+    cookie = cookies.cookie_of(record)
     assert entry.packet(5, cookie=cookie) == []
     assert entry.forwarder.lacks
     entry.dark = set()
@@ -193,7 +193,7 @@
 def test_upstreams_that_share_a_cookie_never_take_each_others_flows(
     monkeypatch,
 ):
-    monkeypatch.setattr(forwarder, "cookie_of", lambda record: 77)
+    monkeypatch.setattr(cookies, "cookie_of", lambda record: 77)
     _, entry = beds.bed(upstreams=2)
     placed = {entry.packet(c, opening=True)[0].id for c in range(20)}
     assert len(placed) == 1
@@ -213,7 +213,7 @@
     control.handle = without_parts
     entry.run(0.5)
     assert len(entry.register) == 3
-    cookie = forwarder.cookie_of(control.register.get("i-00000001").record)
+    cookie = cookies.cookie_of(control.register.get("i-00000001").record)
     assert entry.packet(1, cookie=cookie, size=5) == []
     control.handle = handle
     entry.run(0.5)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -134,3 +134,29 @@
     entry.follower.use_seeds(("c9",))
     entry.run(2.0)
     assert entry.follower.view.version == 8
+
+
+def test_a_control_vm_that_answers_nothing_is_left_for_good():
+    near = beds.ControlVm("c1")
+    far = beds.ControlVm("c2")
+    for one in (near, far):
+        one.names = ("c1", "c2")
+        one.put(4)
+    entry = beds.EntryVm("e1", [near, far])
+    entry.run(2.0)
+    assert chosen_in(entry, 20.0) == []
+    entry.dark = {"c1"}
+    entry.run(1.0)
+    assert chosen_in(entry, 20.0) == []
+    assert entry.follower.fresh(entry.now)
+
+
+def chosen_in(entry, seconds):
+    """Return the control VMs chosen while time passes."""
+    before = len(entry.recorder.events)
+    entry.run(seconds)
+    return [
+        fields["peer"]
+        for event, fields in entry.recorder.events[before:]
+        if event.name == "CONTROL_VM_CHOSEN"
+    ]
