--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -9,6 +9,7 @@
 from ebonytally.configuration import machine as machines
 from ebonytally import deployment as deployments
 from ebonytally import entry_node
+from ebonytally.feed import greeting
 from ebonytally.feed import messages as feed_messages
 from ebonytally.feed import source
 from ebonytally import ports
@@ -69,14 +70,22 @@
             recorder,
         )
         self._kept = kept.Kept(disk, self.register, recorder)
-        self._kept.load(now, wall)
+        entry_vms = self._kept.load(now, wall)
         self.exchange = exchange.Exchange(
             me,
             told.seeds,
             self.register,
             recorder,
         )
-        self._source = source.Source(me, start, self.register, self.machine)
+        self._source = source.Source(
+            me,
+            start,
+            self.register,
+            self.machine,
+            entry_vms,
+            now,
+        )
+        self._greeting = greeting.Greeting(entry_vms, start, now)
         self._made = 0
         self._start = start
 
@@ -140,6 +149,7 @@
         if kind in _AGREEMENT:
             return self._run(self.agreement.handle, peer, msg, now)
         if isinstance(msg, feed_messages.Poll):
+            self._greeting.asked(peer)
             return self._source.poll(
                 peer,
                 msg,
@@ -154,8 +164,9 @@
 
     def tick(self, now: float, wall: float) -> list[actions.Action]:
         """Do what is due."""
-        if self._kept.due(now):
-            self._run(self._save, now, wall)
+        entry_vms = self._source.entry_vms(now)
+        if self._kept.due(entry_vms, now):
+            self._run(self._save, entry_vms, now, wall)
         if self.agreement.is_leader:
             self.agreement.want_voters(self._wanted(now))
         out = self._run(self.agreement.tick, now)
@@ -166,14 +177,19 @@
             self.agreement.leader,
             now,
         )
-        return out
+        return out + self._greeting.tick(now)
 
     def stop(self, now: float) -> list[actions.Action]:
         """Hand leadership over before a planned stop."""
         return self._run(self.agreement.transfer, now)
 
-    def _save(self, now: float, wall: float) -> list[actions.Action]:
-        self._kept.save(now, wall)
+    def _save(
+        self,
+        entry_vms: tuple[str, ...],
+        now: float,
+        wall: float,
+    ) -> list[actions.Action]:
+        self._kept.save(entry_vms, now, wall)
         return []
 
     def _run(self, call: Callable, *args: object) -> list[actions.Action]:
--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -167,8 +167,17 @@
             return self._updated(peer, msg, now)
         if isinstance(msg, messages.Part):
             return self._part(peer, msg, now)
+        if isinstance(msg, messages.Started):
+            return self._greeted(peer, now)
         return []
 
+    def _greeted(self, peer: str, now: float) -> list[actions.Action]:
+        """Ask a control VM that has started, if nothing is known yet."""
+        self._sources.setdefault(peer, _Source())
+        if self.complete():
+            return []
+        return [self._poll(peer, now)]
+
     def _updated(
         self,
         peer: str,
--- a/ebonytally/feed/messages.py
+++ b/ebonytally/feed/messages.py
@@ -57,6 +57,17 @@
     entry_vms: int
 
 
+@wire.message(644)
+@attrs.frozen
+class Started:
+    """Tell an entry VM that a control VM has started and answers polls.
+
+    :param start: of the control VM
+    """
+
+    start: int
+
+
 @wire.message(642)
 @attrs.frozen
 class PartWanted:
--- a/ebonytally/feed/source.py
+++ b/ebonytally/feed/source.py
@@ -16,6 +16,9 @@
 KEPT_CONTENTS = 16
 # An entry VM that didn't ask for this long is not counted.
 FOLLOWER_S = 3.0
+# One that asked this lately is worth a greeting after a restart; longer
+# than any VM is down but for good.
+REMEMBERED_S = 60.0
 
 
 class Source:
@@ -27,10 +30,13 @@
         start: int,
         register: registers.Register,
         machine: machines.Machine,
+        entry_vms: tuple[str, ...],
+        now: float,
     ) -> None:
         """Start without followers.
 
         :param start: differs at each start of this VM
+        :param entry_vms: those that asked before the start
         """
         self._me = me
         self._start = start
@@ -41,6 +47,7 @@
         )
         self._packed: tuple[int, int, bytes] = (0, 0, b"")
         self._followers: dict[str, float] = {}
+        self._asked_at = dict.fromkeys(entry_vms, now)
 
     def followers(self, now: float) -> int:
         """Return how many entry VMs mainly follow this control VM."""
@@ -49,6 +56,13 @@
                 del self._followers[name]
         return len(self._followers)
 
+    def entry_vms(self, now: float) -> tuple[str, ...]:
+        """Return the entry VMs that asked lately, by name."""
+        for name, asked_at in list(self._asked_at.items()):
+            if now - asked_at > REMEMBERED_S:
+                del self._asked_at[name]
+        return tuple(sorted(self._asked_at))
+
     def poll(
         self,
         peer: str,
@@ -59,6 +73,7 @@
         now: float,
     ) -> list[actions.Action]:
         """Answer a poll."""
+        self._asked_at[peer] = now
         if msg.primary:
             self._followers[peer] = now
         else:
--- a/ebonytally/register/kept.py
+++ b/ebonytally/register/kept.py
@@ -1,7 +1,8 @@
 """Keeps the register on disk, for a restart of all control VMs at once.
 
 Without it the first upstreams to announce themselves would get all new
-flows. Nothing rests on it: what is lost or old is announced again.
+flows. The entry VMs that ask are kept beside it, to be greeted then.
+Nothing rests on either: what is lost or old is told again.
 """
 
 import attrs
@@ -25,10 +26,12 @@
     """The file's content.
 
     :param wall: seconds since 1970 when it was written
+    :param entry_vms: names of those that asked lately
     """
 
     wall: float
     records: tuple[records.Record, ...]
+    entry_vms: tuple[str, ...]
 
 
 class Kept:
@@ -45,10 +48,11 @@
         self._register = register
         self._recorder = recorder
         self._revision = register.revision
+        self._entry_vms: tuple[str, ...] = ()
         self._at = 0.0
 
-    def load(self, now: float, wall: float) -> None:
-        """Put what was saved into the register.
+    def load(self, now: float, wall: float) -> tuple[str, ...]:
+        """Put what was saved into the register; return the entry VMs.
 
         :param wall: seconds since 1970
         """
@@ -57,32 +61,42 @@
             saved = None if raw is None else wire.unpack(raw, Saved)
         except (errors.StorageError, errors.WireError) as exc:
             self._failed(exc)
-            return
+            return ()
         if saved is None:
-            return
+            return ()
         fresh = abs(wall - saved.wall) <= FRESH_S
         for record in saved.records:
             if not fresh and record.state != records.State.GONE:
                 record = attrs.evolve(record, state=records.State.SILENT)
             self._register.told_by(record, now)
         self._revision = self._register.revision
+        self._entry_vms = saved.entry_vms
+        return saved.entry_vms
 
-    def due(self, now: float) -> bool:
+    def due(self, entry_vms: tuple[str, ...], now: float) -> bool:
         """Return whether to save now."""
         if now - self._at < SAVE_EVERY_S:
             return False
+        if self._entry_vms != entry_vms:
+            return True
         return self._revision != self._register.revision
 
-    def save(self, now: float, wall: float) -> None:
+    def save(
+        self,
+        entry_vms: tuple[str, ...],
+        now: float,
+        wall: float,
+    ) -> None:
         """Write the register; a disk that refuses is only logged."""
         self._at = now
+        self._entry_vms = entry_vms
         self._revision = self._register.revision
         told = tuple(
             self._register.told(entry, now)
             for entry in self._register.entries()
         )
         try:
-            self._disk.replace(FILE, wire.pack(Saved(wall, told)))
+            self._disk.replace(FILE, wire.pack(Saved(wall, told, entry_vms)))
         except errors.StorageError as exc:
             self._failed(exc)
 
--- a/tests/echo_bed.py
+++ b/tests/echo_bed.py
@@ -69,7 +69,9 @@
             recorders.MemoryRecorder(),
         )
         self.machine = machines.Machine()
-        self.source = source.Source(name, start, self.register, self.machine)
+        self.source = source.Source(
+            name, start, self.register, self.machine, (), 0.0
+        )
         self.in_touch = True
         self.names = (name,)
 
