--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -8,7 +8,6 @@
 from ebonytally.agreement import control_runner
 from ebonytally.configuration import machine as machines
 from ebonytally import deployment as deployments
-from ebonytally import entry_node
 from ebonytally.feed import greeting
 from ebonytally.feed import messages as feed_messages
 from ebonytally.feed import source
@@ -16,6 +15,7 @@
 from ebonytally import recorder as recorders
 from ebonytally.register import exchange
 from ebonytally.register import kept
+from ebonytally.register import limits
 from ebonytally.register import records
 from ebonytally.register import register as registers
 
@@ -66,7 +66,7 @@
         )
         self.register = registers.Register(
             me,
-            entry_node.limits(told),
+            limits.limits(told),
             recorder,
         )
         self._kept = kept.Kept(disk, self.register, recorder)
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -7,20 +7,9 @@
 from ebonytally.echo import placing
 from ebonytally.feed import follower
 from ebonytally import recorder as recorders
+from ebonytally.register import limits
 from ebonytally.register import register as registers
 
-# Announcements may be late by a good part of their gap; two in a row are
-# seldom lost.
-SILENT_ANNOUNCEMENTS = 3.0
-
-
-def limits(told: deployments.Deployment) -> registers.Limits:
-    """Return the register's numbers for a deployment."""
-    return registers.Limits(
-        silent_s=SILENT_ANNOUNCEMENTS * told.announce_s,
-        keep_s=told.flow_ttl_s,
-    )
-
 
 class EntryNode:
     """Passes packets on, by what the control VMs tell."""
@@ -33,7 +22,7 @@
     ) -> None:
         """Start knowing nothing but the seeds."""
         me = told.cfg.name
-        self._register = registers.Register(me, limits(told), recorder)
+        self._register = registers.Register(me, limits.limits(told), recorder)
         self.follower = follower.Follower(
             told.seeds,
             self._register,
--- a/ebonytally/ports.py
+++ b/ebonytally/ports.py
@@ -6,11 +6,14 @@
 
 import enum
 from typing import Protocol
+from typing import TYPE_CHECKING
 
 import attrs
 
 from ebonytally import actions
-from ebonytally import view
+
+if TYPE_CHECKING:
+    from ebonytally import view
 
 MAX_KEPT_BYTES = 16 * 1024
 
@@ -31,7 +34,7 @@
 
     def changed(
         self,
-        new: view.View,
+        new: "view.View",
         now: float,
     ) -> list[actions.Action]:
         """Take a newer configuration."""
@@ -59,7 +62,7 @@
         exclude: frozenset[int],
         now: float,
         deadline: float | None = None,
-    ) -> view.Upstream | None:
+    ) -> "view.Upstream | None":
         """Take a free slot of the best upstream, None if none is here.
 
         :param deadline: when the attempt ends at the latest; without
