--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -117,6 +117,7 @@
             idle_s = self._follower.view.content.idle_timeout_s
             self._tracking.sweep(idle_s, now)
             self._cookies.sweep()
+            self._placing.sweep()
         return out
 
     # Opening.
@@ -231,7 +232,7 @@
         now: float,
     ) -> Out:
         """Refuse a flow that nobody can serve; nothing of it has run."""
-        fresh = self._follower.fresh(now) and self._follower.complete()
+        fresh = self._follower.fresh(now)
         self._recorder.event(
             events.Event.FLOW_REFUSED,
             flow=packet.key.hex(),
--- a/ebonytally/echo/load.py
+++ b/ebonytally/echo/load.py
@@ -37,6 +37,11 @@
     silences: int = 0
     cold_next_at: float = -1e9
 
+    @property
+    def unused(self) -> bool:
+        """Whether no flow here counts on it any more."""
+        return not (self.busy or self.opening or self.flows)
+
     def opened(self, now: float) -> None:
         """Note that it answered an opening packet."""
         self.opened_at = now
--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -51,9 +51,11 @@
             found = self._loads[id_] = loads.Load()
         return found
 
-    def forget(self, id_: str) -> None:
-        """Forget an upstream that is no more."""
-        self._loads.pop(id_, None)
+    def sweep(self) -> None:
+        """Drop the loads of forgotten upstreams."""
+        for id_, load in list(self._loads.items()):
+            if load.unused and self._register.get(id_) is None:
+                del self._loads[id_]
 
     def service_of(self, route: model.Route) -> str:
         """Draw one of a route's services by weight.
--- a/ebonytally/echo/tracking.py
+++ b/ebonytally/echo/tracking.py
@@ -57,10 +57,6 @@
         if packet.ends:
             self.close(packet.key)
 
-    def knows(self, key: bytes) -> bool:
-        """Return whether a flow is open here."""
-        return key in self._flows
-
     def close(self, key: bytes) -> None:
         """Forget a flow."""
         flow = self._flows.pop(key, None)
--- a/tests/test_echo_flows.py
+++ b/tests/test_echo_flows.py
@@ -223,3 +223,18 @@
     control.handle = without_parts
     entry.run(0.5)
     assert entry.packet(2, place=b"\xc6\x12\x00\x09\x01\xbb") == []
+
+
+def test_load_of_a_forgotten_upstream_is_dropped_once_its_flows_are():
+    control, entry = beds.bed(upstreams=1)
+    id_, cookie = entry.open(1)
+    entry.register.left(id_, 0, entry.now)
+    entry.run(61.0)
+    entry.register.expire(entry.now)
+    assert entry.register.get(id_) is None
+    entry.run(2.0)
+    entry.placing.load("i-other").opening += 1
+    entry.run(2.0)
+    kept = entry.placing.load("i-other")
+    assert kept.opening == 1
+    assert id_ not in entry.placing._loads
