--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: the real programs as processes, faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,159 @@
+"""Plays seeds: ``python -m soak [--seeds N] [--minutes M] [--seed S]``."""
+
+import concurrent.futures
+import contextlib
+import multiprocessing
+import pathlib
+import random
+import shutil
+import time
+
+import attrs
+import fire
+import gevent
+
+from soak import faults
+from soak import judge as judges
+from soak import world as worlds
+
+# After the last fault: calm_s of the pages twice over, and time to judge.
+CALM_AFTER_S = 10.0
+SERVED_S = 3.0
+MIN_SERVED = 0.9
+LONGEST_S = 90.0
+STEP_S = 0.2
+FIRST_NET = 30
+KEPT = pathlib.Path(__file__).parent / "seeds.txt"
+
+
+@attrs.frozen
+class Result:
+    """How a seed ended.
+
+    :param broken: promises, empty if all held
+    :param folder: where its logs are, "" if they were removed
+    """
+
+    seed: int
+    broken: tuple[str, ...]
+    counts: dict[str, int]
+    folder: str
+
+
+def kept_seeds() -> list[int]:
+    """Return the seeds that ever failed."""
+    lines = KEPT.read_text(encoding="utf-8").splitlines()
+    return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
+
+
+def play(seed: int, net: int) -> Result:
+    """Play one seed.
+
+    :param net: second byte of its addresses
+    """
+    folder = worlds.folder_for(seed)
+    with contextlib.ExitStack() as stack:
+        world = worlds.World(seed, net, folder, stack)
+        try:
+            world.start()
+            _run(world, faults.plan(seed))
+        except Exception as exc:
+            now = time.monotonic()
+            world.judge.broke(now, "the run failed", repr(exc))
+    broken = tuple(world.judge.broken)
+    if not broken:
+        shutil.rmtree(folder)
+    where = str(folder) if broken else ""
+    return Result(seed, broken, dict(world.judge.counts), where)
+
+
+def _run(world: worlds.World, plan: list[faults.Fault]) -> None:
+    """Carry the plan out, then let all recover, and judge."""
+    tasks = faults.Faults(world).run(plan)
+    until = time.monotonic() + LONGEST_S
+    while not all(task.ready() for task in tasks):
+        world.operator.read()
+        world.check_processes()
+        gevent.sleep(STEP_S)
+        if time.monotonic() > until:
+            raise RuntimeError("the faults don't end")
+    for task in tasks:
+        task.get()
+    calm_until = time.monotonic() + CALM_AFTER_S
+    while time.monotonic() < calm_until:
+        world.operator.read()
+        world.check_processes()
+        gevent.sleep(STEP_S)
+    before = world.judge.counts.copy()
+    gevent.sleep(SERVED_S)
+    _check_service(world.judge, before)
+    world.operator.check_end()
+    world.check_processes()
+
+
+def _check_service(judge: judges.Judge, before: dict[str, int]) -> None:
+    """Once all is well again nearly all requests are answered."""
+    asked = judge.counts["requests"] - before["requests"]
+    served = judge.counts["answered"] - before["answered"]
+    if not asked or served < MIN_SERVED * asked:
+        detail = f"{served} of {asked}"
+        judge.broke(time.monotonic(), "service after recovery", detail)
+
+
+def main(
+    seeds: int = 0,
+    minutes: float = 0.0,
+    seed: int = 0,
+    first: int = 0,
+    jobs: int = 2,
+) -> int:
+    """Play seeds and print how each ended; 1 if any promise broke.
+
+    :param seeds: how many, from `first` on
+    :param minutes: play fresh seeds for so long
+    :param seed: play this one alone
+    :param jobs: runs beside each other
+    """
+    if seed:
+        return _report([play(seed, FIRST_NET)])
+    wanted = kept_seeds() if not minutes else []
+    wanted += list(range(first, first + seeds))
+    until = time.monotonic() + minutes * 60
+    rng = random.SystemRandom()
+    failed = 0
+    spawn = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(jobs, spawn) as pool:
+        running: dict[concurrent.futures.Future, int] = {}
+        nets = list(range(FIRST_NET, FIRST_NET + jobs))
+        while wanted or running or time.monotonic() < until:
+            if not wanted and time.monotonic() < until:
+                wanted.append(rng.getrandbits(31))
+            while wanted and nets:
+                net = nets.pop()
+                running[pool.submit(play, wanted.pop(0), net)] = net
+            done, _ = concurrent.futures.wait(
+                running,
+                return_when=concurrent.futures.FIRST_COMPLETED,
+            )
+            for fut in done:
+                nets.append(running.pop(fut))
+                failed += _report([fut.result()])
+    print(f"{failed} seeds with a broken promise")
+    return 1 if failed else 0
+
+
+def _report(results: list[Result]) -> int:
+    """Print results; return how many broke a promise."""
+    for result in results:
+        word = "BROKEN" if result.broken else "held"
+        counts = ", ".join(f"{k} {v}" for k, v in result.counts.items())
+        print(f"seed {result.seed}: {word}; {counts}", flush=True)
+        for line in result.broken:
+            print(f"  {line}")
+        if result.folder:
+            print(f"  logs: {result.folder}", flush=True)
+    return sum(bool(result.broken) for result in results)
+
+
+if __name__ == "__main__":
+    raise SystemExit(fire.Fire(main, serialize=lambda _: ""))
--- /dev/null
+++ b/soak/vms.py
@@ -0,0 +1,176 @@
+"""VMs of the system: real processes with settings of their own."""
+
+import contextlib
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+
+import attrs
+
+from soak import links as link_lib
+
+PACKET_PORT = 8172
+READY_PORT = 8167
+CONTROL_PORT = 8166
+FIRST_PORT = 7100
+PORTS_EACH = 20
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c", "dc-d")
+ANNOUNCE_MS = 600
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+_SETTINGS = """\
+node-name = "{name}"
+role = "{role}"
+serves = ["{serves}"]
+ip = "{address}"
+zone = "{data_centre}"
+region = "west"
+internal-port-range = [{port}, {last}]
+seeds = [{seeds}]
+bootstrap = {bootstrap}
+heartbeat-ms = {announce_ms}
+data-dir = "{data}"
+[zones]
+{zones}
+[bind-addrs]
+{binds}
+[bounds]
+grace-s = 6
+cold-slack = 5
+flow-ttl-s = 60
+"""
+
+
+@attrs.define
+class Vm:
+    """One VM and its process.
+
+    :param process: None while it is down
+    :param stopped: its end was asked for
+    """
+
+    name: str
+    place: link_lib.Place
+    data_centre: str
+    control: bool
+    folder: pathlib.Path
+    process: subprocess.Popen | None = None
+    stopped: bool = True
+
+    @property
+    def address(self) -> str:
+        """Return its address, which is its name among VMs."""
+        return self.place.address
+
+    def start(self, seeds: list[str], first: bool) -> None:
+        """Start the process.
+
+        :param first: the whole system starts for the first time
+        """
+        self.configure(seeds, first)
+        self.launch()
+
+    def launch(self) -> None:
+        """Start the process with the settings file as it is."""
+        env = dict(os.environ)
+        env["EBONYTALLY_CONFIG"] = str(self.folder / "node.toml")
+        with (self.folder / "log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "ebonytally.platform"],
+                cwd=ROOT,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.stopped = False
+
+    def configure(self, seeds: list[str], first: bool) -> None:
+        """Write the settings file."""
+        binds = f'control = "{self.address}:{CONTROL_PORT}"'
+        if not self.control:
+            binds = (
+                f'datagram-addr = "{self.address}:{PACKET_PORT}"\n'
+                f'ready = "{self.address}:{READY_PORT}"'
+            )
+        self.folder.mkdir(parents=True, exist_ok=True)
+        text = _SETTINGS.format(
+            name=self.name,
+            role="control" if self.control else "entry",
+            serves="control" if self.control else "front",
+            address=self.address,
+            data_centre=self.data_centre,
+            port=self.place.port,
+            last=self.place.port + PORTS_EACH - 1,
+            seeds=", ".join(f'"{one}:{CONTROL_PORT}"' for one in seeds),
+            bootstrap=str(first).lower(),
+            announce_ms=ANNOUNCE_MS,
+            data=self.folder / "data" if self.control else "",
+            zones="\n".join(f'{one} = "west"' for one in DATA_CENTRES),
+            binds=binds,
+        )
+        new = self.folder / "node.toml.new"
+        new.write_text(text)
+        new.rename(self.folder / "node.toml")
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.running:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.stopped = True
+        if self.process is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
+            self.process.wait()
+            self.process = None
+
+    def terminate(self) -> None:
+        """Ask the process to end."""
+        self.stopped = True
+        self.signal(signal.SIGTERM)
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    @property
+    def ended_by_itself(self) -> bool:
+        """Return whether the process ended though nobody asked."""
+        return not self.stopped and not self.running
+
+    def wipe(self) -> None:
+        """Lose the disk."""
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+
+    def tear(self, tail: bytes) -> None:
+        """Leave a torn write at the end of the newest log file."""
+        logs = sorted((self.folder / "data").glob("log-*"))
+        if logs:
+            with logs[-1].open("ab") as file:
+                file.write(tail)
+
+
+def make(net: int, folder: pathlib.Path, entries: int) -> list[Vm]:
+    """Return four control VMs and some entry VMs.
+
+    :param net: second byte of all addresses, so that runs don't meet
+    """
+    out = []
+    for number in range(len(DATA_CENTRES) + entries):
+        control = number < len(DATA_CENTRES)
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        kind = "control" if control else "entry"
+        host = number if control else number - len(DATA_CENTRES)
+        address = f"127.{net}.{2 if control else 1}.{host + 1}"
+        port = FIRST_PORT + PORTS_EACH * number
+        name = f"{kind}-{data_centre}-{host + 1}"
+        place = link_lib.Place(address, port)
+        out.append(Vm(name, place, data_centre, control, folder / name))
+    return out
