--- a/modelcheck/__main__.py
+++ b/modelcheck/__main__.py
@@ -9,6 +9,7 @@
 from modelcheck import confirm_model
 from modelcheck import lease_model
 from modelcheck import log_model
+from modelcheck import order_model
 from modelcheck import read_model
 
 MAX_STATES = 1_000_000
@@ -19,13 +20,16 @@
     logs = bounds.LOG_SMALL
     leases = bounds.LEASE_SMALL
     reads = bounds.READ_SMALL
+    orders = bounds.ORDER_SMALL
     if "--large" in argv:
         logs += bounds.LOG_LARGE
         leases += bounds.LEASE_LARGE
         reads += bounds.READ_LARGE
+        orders += bounds.ORDER_LARGE
     models = [(limit, log_model.LogModel(limit)) for limit in logs]
     models += [(limit, lease_model.LeaseModel(limit)) for limit in leases]
     models += [(limit, read_model.ReadModel(limit)) for limit in reads]
+    models += [(limit, order_model.OrderModel(limit)) for limit in orders]
     models.append(("Confirm()", confirm_model.ConfirmModel()))
     verdicts = [_check(limit, model) for limit, model in models]
     return 0 if all(verdicts) else 1
--- a/modelcheck/bounds.py
+++ b/modelcheck/bounds.py
@@ -2,12 +2,14 @@
 
 from modelcheck import lease_model
 from modelcheck import log_state
+from modelcheck import order_model
 from modelcheck import read_model
 
 TWO = (0, 1)
 Log = log_state.Bounds
 Lease = lease_model.Bounds
 Read = read_model.Bounds
+Order = order_model.Bounds
 
 LOG_SMALL = (
     Log(terms=3, entries=2, crashes=0, candidates=TWO),
@@ -40,3 +42,8 @@
     Read(terms=2, versions=1, wipes=True),
 )
 READ_LARGE = (Read(terms=2, versions=2, wipes=False),)
+ORDER_SMALL = (
+    Order(terms=2, orders=2, entries=3),
+    Order(terms=3, orders=2, entries=3),
+)
+ORDER_LARGE = (Order(terms=3, orders=3, entries=4),)
--- a/modelcheck/read_model.py
+++ b/modelcheck/read_model.py
@@ -125,7 +125,7 @@
         me = state.vms[vm]
         if term > self.bounds.terms or not self._votes(me):
             return
-        for voters in _majorities(vm):
+        for voters in majorities(vm):
             others = [state.vms[one] for one in voters]
             if not all(self._votes(one) for one in others):
                 continue
@@ -244,7 +244,8 @@
         yield ("wipe", vm), state._replace(vms=tuple(vms))
 
 
-def _majorities(vm: int) -> Iterator[tuple[int, ...]]:
+def majorities(vm: int) -> Iterator[tuple[int, ...]]:
+    """Yield each majority that a VM is part of."""
     for count in (2, 3):
         for voters in itertools.combinations(VMS, count):
             if vm in voters:
