--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,11 +1,11 @@
 """Plays seeds: ``python -m soak [--seeds N] [--minutes M] [--seed S]``."""
 
-import concurrent.futures
 import contextlib
-import multiprocessing
 import pathlib
 import random
 import shutil
+import subprocess
+import sys
 import time
 
 import attrs
@@ -104,8 +104,9 @@
     seeds: int = 0,
     minutes: float = 0.0,
     seed: int = 0,
-    first: int = 0,
+    first: int = 1,
     jobs: int = 2,
+    net: int = FIRST_NET,
 ) -> int:
     """Play seeds and print how each ended; 1 if any promise broke.
 
@@ -113,46 +114,49 @@
     :param minutes: play fresh seeds for so long
     :param seed: play this one alone
     :param jobs: runs beside each other
+    :param net: second byte of the addresses of the first of them
     """
     if seed:
-        return _report([play(seed, FIRST_NET)])
-    wanted = kept_seeds() if not minutes else []
-    wanted += list(range(first, first + seeds))
+        return _report(play(seed, net))
     until = time.monotonic() + minutes * 60
+    wanted = [] if minutes else kept_seeds()
+    wanted += range(first, first + seeds)
     rng = random.SystemRandom()
+    free = list(range(net, net + jobs))
+    running: dict[int, subprocess.Popen] = {}
     failed = 0
-    spawn = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(jobs, spawn) as pool:
-        running: dict[concurrent.futures.Future, int] = {}
-        nets = list(range(FIRST_NET, FIRST_NET + jobs))
-        while wanted or running or time.monotonic() < until:
-            if not wanted and time.monotonic() < until:
-                wanted.append(rng.getrandbits(31))
-            while wanted and nets:
-                net = nets.pop()
-                running[pool.submit(play, wanted.pop(0), net)] = net
-            done, _ = concurrent.futures.wait(
-                running,
-                return_when=concurrent.futures.FIRST_COMPLETED,
-            )
-            for fut in done:
-                nets.append(running.pop(fut))
-                failed += _report([fut.result()])
+    while wanted or running or time.monotonic() < until:
+        if not wanted and time.monotonic() < until:
+            wanted.append(1 + rng.getrandbits(31))
+        while wanted and free:
+            running[free[-1]] = _play_apart(wanted.pop(0), free[-1])
+            free.pop()
+        for one, process in list(running.items()):
+            if process.poll() is not None:
+                del running[one]
+                free.append(one)
+                failed += process.returncode != 0
+        time.sleep(STEP_S)
     print(f"{failed} seeds with a broken promise")
     return 1 if failed else 0
 
 
-def _report(results: list[Result]) -> int:
-    """Print results; return how many broke a promise."""
-    for result in results:
-        word = "BROKEN" if result.broken else "held"
-        counts = ", ".join(f"{k} {v}" for k, v in result.counts.items())
-        print(f"seed {result.seed}: {word}; {counts}", flush=True)
-        for line in result.broken:
-            print(f"  {line}")
-        if result.folder:
-            print(f"  logs: {result.folder}", flush=True)
-    return sum(bool(result.broken) for result in results)
+def _play_apart(seed: int, net: int) -> subprocess.Popen:
+    """Play a seed in a process of its own, which prints how it ended."""
+    words = ["--seed", str(seed), "--net", str(net)]
+    return subprocess.Popen([sys.executable, "-m", "soak", *words])
+
+
+def _report(result: Result) -> int:
+    """Print a result; return 1 if a promise broke."""
+    word = "BROKEN" if result.broken else "held"
+    counts = ", ".join(f"{k} {v}" for k, v in result.counts.items())
+    lines = [f"seed {result.seed}: {word}; {counts}"]
+    lines += [f"  {line}" for line in result.broken]
+    if result.folder:
+        lines.append(f"  logs: {result.folder}")
+    print("\n".join(lines), flush=True)
+    return 1 if result.broken else 0
 
 
 if __name__ == "__main__":
