--- a/ebonytally/http_bounds.py
+++ b/ebonytally/http_bounds.py
@@ -1,7 +1,5 @@
 """Handlers of gevent's HTTP server that bound a connection's life."""
 
-import contextlib
-
 import gevent
 from gevent import pywsgi
 
@@ -17,10 +15,8 @@
     def handle(self) -> None:
         """Serve the connection."""
         with gevent.Timeout(self.connection_s, False):
+            # It closes the connection, also when its time is over.
             super().handle()
-            return
-        with contextlib.suppress(OSError):
-            self.socket.close()
 
     def log_request(self) -> None:
         """Leave logging to the recorder."""
