--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -37,13 +37,19 @@
 
 @attrs.define
 class _Opening:
-    """A flow of which only opening packets were seen."""
+    """A flow of which only opening packets were seen.
+
+    :param exhausted: no further upstream is to be asked
+    :param blamed: how many of those tried the silence counts against
+    """
 
     packet: packets.Packet
     service: str
     tried: tuple[str, ...]
     sent_at: float
     began_at: float
+    exhausted: bool = False
+    blamed: int = 0
 
 
 class Forwarder:
@@ -110,7 +116,7 @@
         for key, opening in list(self._openings.items()):
             if now - opening.began_at > OPENING_S:
                 self._given_up(key, opening)
-            elif now - opening.sent_at >= SILENT_S:
+            elif not opening.exhausted and now - opening.sent_at >= SILENT_S:
                 out += self._again(opening, "silent", now)
         if now - self._swept_at >= SWEEP_S:
             self._swept_at = now
@@ -155,10 +161,9 @@
             return []
         silent_s = now - opening.sent_at
         opening.sent_at = now
-        load = self._placing.load(last)
-        rests = len(opening.tried) < MAX_TRIES and load.silent(now)
+        rests = self._blame(opening, why, now)
         chosen = None
-        if len(opening.tried) < MAX_TRIES:
+        if not opening.exhausted:
             chosen = self._choose(opening.service, opening.tried, now)
         self._recorder.event(
             events.Event.UPSTREAM_SILENT,
@@ -171,15 +176,29 @@
             tries=len(opening.tried),
         )
         if chosen is None:
+            opening.exhausted = True
             entry = self._register.get(last)
             if why != "copy" or entry is None:
                 return []
             return [_opened(entry.record, opening.packet)]
         opening.tried += (chosen.id,)
+        opening.exhausted = len(opening.tried) >= MAX_TRIES
         self._placing.load(chosen.id).opening += 1
         self._recorder.counted("flows_tried_again")
         return [_opened(chosen, opening.packet)]
 
+    def _blame(self, opening: _Opening, why: str, now: float) -> bool:
+        """Count silence against upstreams; return whether one rests.
+
+        A caller that its first upstream refused is gone, so that the
+        next ones see silence too; only a copy shows that it still waits.
+        """
+        last = len(opening.tried) if why == "copy" else 1
+        counted = opening.tried[opening.blamed : last]
+        opening.blamed = max(opening.blamed, last)
+        rests = [self._placing.load(id_).silent(now) for id_ in counted]
+        return any(rests)
+
     def _choose(
         self,
         service: str,
--- a/tests/test_echo_flows.py
+++ b/tests/test_echo_flows.py
@@ -238,3 +238,42 @@
     kept = entry.placing.load("i-other")
     assert kept.opening == 1
     assert id_ not in entry.placing._loads
+
+
+def test_an_opening_that_nobody_answers_is_logged_once_an_upstream():
+    """Its caller may be gone, refused by an upstream that has ended."""
+    control, entry = beds.bed(upstreams=5)
+    before = len(entry.recorder.events)
+    entry.packet(1, opening=True)
+    entry.run(1.4)
+    silent = [
+        fields["upstream"]
+        for event, fields in entry.recorder.events[before:]
+        if event.name == "UPSTREAM_SILENT"
+    ]
+    assert len(silent) == len(set(silent)) == 2
+
+
+def silences(entry, upstreams):
+    """Return how often each upstream was blamed, most first."""
+    ids = [f"i-{number:08x}" for number in range(1, upstreams + 1)]
+    found = [entry.placing.load(id_).silences for id_ in ids]
+    return sorted(found, reverse=True)
+
+
+def test_a_caller_that_is_gone_counts_against_the_first_upstream_alone():
+    """An upstream that has ended refuses at once; its caller goes."""
+    control, entry = beds.bed(upstreams=4)
+    entry.packet(1, opening=True)
+    entry.run(1.4)
+    assert silences(entry, 4) == [1, 0, 0, 0]
+
+
+def test_a_caller_that_still_waits_counts_against_the_second_too():
+    control, entry = beds.bed(upstreams=2)
+    entry.packet(1, opening=True)
+    entry.run(0.07)
+    entry.run(0.13)
+    entry.packet(1, opening=True)
+    entry.run(1.0)
+    assert silences(entry, 2) == [1, 1]
