--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import time
@@ -52,6 +53,8 @@
     :param net: second byte of its addresses
     """
     folder = worlds.folder_for(seed)
+    me = gevent.getcurrent()
+    gevent.signal_handler(signal.SIGTERM, gevent.kill, me, SystemExit)
     with contextlib.ExitStack() as stack:
         world = worlds.World(seed, net, folder, stack)
         try:
@@ -118,12 +121,34 @@
     """
     if seed:
         return _report(play(seed, net))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     until = time.monotonic() + minutes * 60
     wanted = [] if minutes else kept_seeds()
     wanted += range(first, first + seeds)
-    rng = random.SystemRandom()
     free = list(range(net, net + jobs))
     running: dict[int, subprocess.Popen] = {}
+    try:
+        failed = _play_all(wanted, until, free, running)
+    finally:
+        for process in running.values():
+            process.terminate()
+    print(f"{failed} seeds with a broken promise")
+    return 1 if failed else 0
+
+
+def _play_all(
+    wanted: list[int],
+    until: float,
+    free: list[int],
+    running: dict[int, subprocess.Popen],
+) -> int:
+    """Play seeds beside each other; return how many broke a promise.
+
+    :param until: seconds, until when fresh seeds are added
+    :param free: second bytes of addresses that no run uses
+    :param running: what runs, by that byte
+    """
+    rng = random.SystemRandom()
     failed = 0
     while wanted or running or time.monotonic() < until:
         if not wanted and time.monotonic() < until:
@@ -137,8 +162,7 @@
                 free.append(one)
                 failed += process.returncode != 0
         time.sleep(STEP_S)
-    print(f"{failed} seeds with a broken promise")
-    return 1 if failed else 0
+    return failed
 
 
 def _play_apart(seed: int, net: int) -> subprocess.Popen:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers: they open flows through the fabric and send requests."""
 
 import contextlib
+from http.client import HTTPException
 import random
 import socket as std_socket
 import time
@@ -95,7 +96,7 @@
             network_timeout=READY_EVERY_S,
         )
         good = False
-        with contextlib.suppress(OSError, ValueError, EOFError):
+        with contextlib.suppress(OSError, ValueError, EOFError, HTTPException):
             good = client.get("/v1/readiness").status_code == 200
         client.close()
         misses = 0 if good else self._misses[address] + 1
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -1,6 +1,7 @@
 """Upstream stand-ins: they announce themselves and answer flows."""
 
 import collections
+from http.client import HTTPException
 import json
 import socket as std_socket
 import time
@@ -292,7 +293,7 @@
         answer = client.request(method, path, body, headers)
         place = answer.get("Location") or ""
         return HttpAnswer(answer.status_code, bytes(answer.read()), place)
-    except (OSError, ValueError, EOFError):
+    except (OSError, ValueError, EOFError, HTTPException):
         return None
     finally:
         client.close()
