--- a/modelcheck/confirm_model.py
+++ b/modelcheck/confirm_model.py
@@ -9,7 +9,8 @@
 import enum
 from typing import NamedTuple
 
-import minicheck
+from modelcheck import specification
+
 
 PLANS = (0, 1)
 OPERATORS = ("ann", "bob")
@@ -55,27 +56,23 @@
 Step = tuple[tuple, State]
 
 
-class ConfirmModel:
+class ConfirmModel(specification.Specification):
     """Transitions of the specification."""
 
+    name = "confirmation"
+    initial = State()
+
     def __init__(self, *mistakes: Mistake) -> None:
         """Take the faults to put in."""
         self.mistakes = mistakes
 
-    def protocol(self) -> minicheck.Protocol:
-        """Return the specification for the checker."""
-        return minicheck.Protocol(
-            name="confirmation",
-            candidate=False,
-            fields=State._fields,
-            initial=State(),
-            transitions=lambda state: list(self.steps(State(*state))),
-            invariants={
-                "confirmed_once": confirmed_once,
-                "basis_held": basis_held,
-                "discarded_stays_so": discarded_stays_so,
-            },
-        )
+    def invariants(self) -> dict[str, specification.Invariant]:
+        """Return what must hold in each state, by name."""
+        return {
+            "confirmed_once": confirmed_once,
+            "basis_held": basis_held,
+            "discarded_stays_so": discarded_stays_so,
+        }
 
     def steps(self, state: State) -> Iterator[Step]:
         """Yield (label, next state) of every step."""
--- a/modelcheck/lease_model.py
+++ b/modelcheck/lease_model.py
@@ -14,7 +14,8 @@
 from typing import NamedTuple
 
 import attrs
-import minicheck
+
+from modelcheck import specification
 
 LEASE_TICKS = 2
 LEADER = 0
@@ -96,32 +97,19 @@
     exclude: bool
 
 
-class LeaseModel:
+class LeaseModel(specification.Specification):
     """Transitions of the specification within bounds."""
 
-    def __init__(
-        self,
-        bounds: Bounds,
-        mistake: Mistake | None = None,
-    ) -> None:
-        """Take the bounds, and the fault to put in."""
-        self.bounds = bounds
-        self.mistake = mistake
-
-    def protocol(self) -> minicheck.Protocol:
-        """Return the specification for the checker."""
-        return minicheck.Protocol(
-            name="configuration lease",
-            candidate=False,
-            fields=State._fields,
-            initial=State(),
-            transitions=lambda state: list(self.steps(State(*state))),
-            invariants={
-                "out_holds_after_lease_time": out_holds_after_lease_time,
-                "down_means_no_lease": down_means_no_lease,
-                "no_revision_goes_down": no_revision_goes_down,
-            },
-        )
+    name = "configuration lease"
+    initial = State()
+
+    def invariants(self) -> dict[str, specification.Invariant]:
+        """Return what must hold in each state, by name."""
+        return {
+            "out_holds_after_lease_time": out_holds_after_lease_time,
+            "down_means_no_lease": down_means_no_lease,
+            "no_revision_goes_down": no_revision_goes_down,
+        }
 
     def steps(self, state: State) -> Iterator[Step]:
         """Yield (label, next state) of every step."""
--- a/modelcheck/log_model.py
+++ b/modelcheck/log_model.py
@@ -9,37 +9,21 @@
 
 from collections.abc import Iterator
 
-import minicheck
-
 from modelcheck import log_state
+from modelcheck import specification
 
 Step = tuple[tuple, log_state.State]
 
 
-class LogModel:
+class LogModel(specification.Specification):
     """Transitions of the specification within bounds."""
 
-    def __init__(
-        self,
-        bounds: log_state.Bounds,
-        mistake: log_state.Mistake | None = None,
-    ) -> None:
-        """Take the bounds, and the fault to put in."""
-        self.bounds = bounds
-        self.mistake = mistake
+    name = "replicated log"
+    initial = log_state.INITIAL
 
-    def protocol(self) -> minicheck.Protocol:
-        """Return the specification for the checker."""
-        return minicheck.Protocol(
-            name="replicated log",
-            candidate=False,
-            fields=log_state.State._fields,
-            initial=log_state.INITIAL,
-            transitions=lambda state: list(
-                self.steps(log_state.State(*state))
-            ),
-            invariants=log_state.INVARIANTS,
-        )
+    def invariants(self) -> dict[str, specification.Invariant]:
+        """Return what must hold in each state, by name."""
+        return log_state.INVARIANTS
 
     def steps(self, state: log_state.State) -> Iterator[Step]:
         """Yield (label, next state) of every step."""
--- a/modelcheck/order_model.py
+++ b/modelcheck/order_model.py
@@ -13,9 +13,9 @@
 from typing import NamedTuple
 
 import attrs
-import minicheck
 
 from modelcheck import read_model
+from modelcheck import specification
 
 VMS = read_model.VMS
 MAJORITY = read_model.MAJORITY
@@ -72,28 +72,17 @@
     entries: int
 
 
-class OrderModel:
+class OrderModel(specification.Specification):
     """Transitions of the specification within bounds."""
 
-    def __init__(
-        self,
-        bounds: Bounds,
-        mistake: Mistake | None = None,
-    ) -> None:
-        """Take the bounds, and the fault to put in."""
-        self.bounds = bounds
-        self.mistake = mistake
-
-    def protocol(self) -> minicheck.Protocol:
-        """Return the specification for the checker."""
-        return minicheck.Protocol(
-            name="orders about data centres",
-            candidate=False,
-            fields=State._fields,
-            initial=State(),
-            transitions=lambda state: list(self.steps(State(*state))),
-            invariants={"acknowledged_is_in_force": acknowledged_is_in_force},
-        )
+    name = "orders about data centres"
+    initial = State()
+
+    def invariants(self) -> dict[str, specification.Invariant]:
+        """Return what must hold in each state, by name."""
+        return {
+            "acknowledged_is_in_force": acknowledged_is_in_force,
+        }
 
     def steps(self, state: State) -> Iterator[Step]:
         """Yield (label, next state) of every step."""
--- a/modelcheck/read_model.py
+++ b/modelcheck/read_model.py
@@ -14,7 +14,8 @@
 from typing import NamedTuple
 
 import attrs
-import minicheck
+
+from modelcheck import specification
 
 VMS = (0, 1, 2)
 MAJORITY = 2
@@ -85,31 +86,18 @@
     wipes: bool
 
 
-class ReadModel:
+class ReadModel(specification.Specification):
     """Transitions of the specification within bounds."""
 
-    def __init__(
-        self,
-        bounds: Bounds,
-        mistake: Mistake | None = None,
-    ) -> None:
-        """Take the bounds, and the fault to put in."""
-        self.bounds = bounds
-        self.mistake = mistake
-
-    def protocol(self) -> minicheck.Protocol:
-        """Return the specification for the checker."""
-        return minicheck.Protocol(
-            name="configuration reads",
-            candidate=False,
-            fields=State._fields,
-            initial=State(),
-            transitions=lambda state: list(self.steps(State(*state))),
-            invariants={
-                "no_read_is_old": no_read_is_old,
-                "nothing_acknowledged_is_lost": nothing_acknowledged_is_lost,
-            },
-        )
+    name = "configuration reads"
+    initial = State()
+
+    def invariants(self) -> dict[str, specification.Invariant]:
+        """Return what must hold in each state, by name."""
+        return {
+            "no_read_is_old": no_read_is_old,
+            "nothing_acknowledged_is_lost": nothing_acknowledged_is_lost,
+        }
 
     def steps(self, state: State) -> Iterator[Step]:
         """Yield (label, next state) of every step."""
