--- a/modelcheck/__main__.py
+++ b/modelcheck/__main__.py
@@ -11,6 +11,7 @@
 from modelcheck import log_model
 from modelcheck import order_model
 from modelcheck import read_model
+from modelcheck import votes_model
 
 MAX_STATES = 1_000_000
 
@@ -30,6 +31,9 @@
     models += [(limit, lease_model.LeaseModel(limit)) for limit in leases]
     models += [(limit, read_model.ReadModel(limit)) for limit in reads]
     models += [(limit, order_model.OrderModel(limit)) for limit in orders]
+    models += [
+        (limit, votes_model.VotesModel(limit)) for limit in bounds.VOTES
+    ]
     models.append(("Confirm()", confirm_model.ConfirmModel()))
     verdicts = [_check(limit, model) for limit, model in models]
     return 0 if all(verdicts) else 1
--- a/modelcheck/bounds.py
+++ b/modelcheck/bounds.py
@@ -4,12 +4,14 @@
 from modelcheck import log_state
 from modelcheck import order_model
 from modelcheck import read_model
+from modelcheck import votes_model
 
 TWO = (0, 1)
 Log = log_state.Bounds
 Lease = lease_model.Bounds
 Read = read_model.Bounds
 Order = order_model.Bounds
+Votes = votes_model.Bounds
 
 LOG_SMALL = (
     Log(terms=3, entries=2, crashes=0, candidates=TWO),
@@ -47,3 +49,4 @@
     Order(terms=3, orders=2, entries=3),
 )
 ORDER_LARGE = (Order(terms=3, orders=3, entries=4),)
+VOTES = (Votes(terms=3, wipes=1), Votes(terms=4, wipes=2))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 
 from soak import faults
 from soak import judge as judges
+from soak import vms
 from soak import world as worlds
 
 # After the last fault: calm_s of the pages twice over, and time to judge.
@@ -23,7 +24,6 @@
 MIN_SERVED = 0.9
 LONGEST_S = 90.0
 STEP_S = 0.2
-FIRST_NET = 30
 KEPT = pathlib.Path(__file__).parent / "seeds.txt"
 
 
@@ -47,15 +47,13 @@
     return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
 
 
-def play(seed: int, net: int) -> Result:
-    """Play one seed.
-
-    :param net: second byte of its addresses
-    """
+def play(seed: int) -> Result:
+    """Play one seed."""
     folder = worlds.folder_for(seed)
     me = gevent.getcurrent()
     gevent.signal_handler(signal.SIGTERM, gevent.kill, me, SystemExit)
     with contextlib.ExitStack() as stack:
+        net = vms.claim_net(stack)
         world = worlds.World(seed, net, folder, stack)
         try:
             world.start()
@@ -109,7 +107,6 @@
     seed: int = 0,
     first: int = 1,
     jobs: int = 2,
-    net: int = FIRST_NET,
 ) -> int:
     """Play seeds and print how each ended; 1 if any promise broke.
 
@@ -117,20 +114,18 @@
     :param minutes: play fresh seeds for so long
     :param seed: play this one alone
     :param jobs: runs beside each other
-    :param net: second byte of the addresses of the first of them
     """
     if seed:
-        return _report(play(seed, net))
+        return _report(play(seed))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     until = time.monotonic() + minutes * 60
     wanted = [] if minutes else kept_seeds()
     wanted += range(first, first + seeds)
-    free = list(range(net, net + jobs))
-    running: dict[int, subprocess.Popen] = {}
+    running: list[subprocess.Popen] = []
     try:
-        failed = _play_all(wanted, until, free, running)
+        failed = _play_all(wanted, until, jobs, running)
     finally:
-        for process in running.values():
+        for process in running:
             process.terminate()
     print(f"{failed} seeds with a broken promise")
     return 1 if failed else 0
@@ -139,35 +134,32 @@
 def _play_all(
     wanted: list[int],
     until: float,
-    free: list[int],
-    running: dict[int, subprocess.Popen],
+    jobs: int,
+    running: list[subprocess.Popen],
 ) -> int:
     """Play seeds beside each other; return how many broke a promise.
 
     :param until: seconds, until when fresh seeds are added
-    :param free: second bytes of addresses that no run uses
-    :param running: what runs, by that byte
+    :param running: what runs, for who ends it
     """
     rng = random.SystemRandom()
     failed = 0
     while wanted or running or time.monotonic() < until:
         if not wanted and time.monotonic() < until:
             wanted.append(1 + rng.getrandbits(31))
-        while wanted and free:
-            running[free[-1]] = _play_apart(wanted.pop(0), free[-1])
-            free.pop()
-        for one, process in list(running.items()):
+        while wanted and len(running) < jobs:
+            running.append(_play_apart(wanted.pop(0)))
+        for process in list(running):
             if process.poll() is not None:
-                del running[one]
-                free.append(one)
+                running.remove(process)
                 failed += process.returncode != 0
         time.sleep(STEP_S)
     return failed
 
 
-def _play_apart(seed: int, net: int) -> subprocess.Popen:
+def _play_apart(seed: int) -> subprocess.Popen:
     """Play a seed in a process of its own, which prints how it ended."""
-    words = ["--seed", str(seed), "--net", str(net)]
+    words = ["--seed", str(seed)]
     return subprocess.Popen([sys.executable, "-m", "soak", *words])
 
 
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -5,6 +5,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 
@@ -17,6 +18,8 @@
 CONTROL_PORT = 8166
 FIRST_PORT = 7100
 PORTS_EACH = 20
+# The demo and the examples use lower ones.
+NETS = range(100, 250)
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c", "dc-d")
 ANNOUNCE_MS = 600
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -157,6 +160,24 @@
                 file.write(tail)
 
 
+def claim_net(stack: contextlib.ExitStack) -> int:
+    """Return a second byte of addresses that no other run uses.
+
+    :param stack: gives it back
+    :raises RuntimeError: when all are in use
+    """
+    for net in NETS:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind((f"127.{net}.9.9", FIRST_PORT))
+        except OSError:
+            sock.close()
+            continue
+        stack.callback(sock.close)
+        return net
+    raise RuntimeError("no addresses are free")
+
+
 def make(net: int, folder: pathlib.Path, entries: int) -> list[Vm]:
     """Return four control VMs and some entry VMs.
 
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -8,7 +8,14 @@
 from ebonytally import http_bounds
 from ebonytally.platform import http_server
 
-PORT = 18099
+ADDRESS = "127.0.0.1"
+
+
+def free_port():
+    """Return a port that nothing uses now."""
+    with contextlib.closing(socket.socket()) as sock:
+        sock.bind((ADDRESS, 0))
+        return sock.getsockname()[1]
 
 
 def test_a_connection_ends_in_silence_when_its_time_is_over(
@@ -16,7 +23,7 @@
     capfd,
 ):
     monkeypatch.setattr(http_bounds.BoundedHandler, "connection_s", 0.2)
-    at = deployment.Endpoint("127.0.0.1", PORT)
+    at = deployment.Endpoint(ADDRESS, free_port())
     with contextlib.ExitStack() as stack:
         http_server.serve(at, stack, lambda environ: ("200 OK", [], b"x"))
         conn = socket.create_connection((at.address, at.port), timeout=2.0)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Entry and control roles as real processes on loopback."""
 
+import contextlib
 import signal
 import time
 
@@ -12,7 +13,6 @@
 from soak import upstreams
 from soak import vms
 
-NET = 29
 ANSWERS_S = 2.0
 GRACE_S = 6.0
 UP_S = 10.0
@@ -22,8 +22,8 @@
 class World:
     """Four control VMs and an entry VM, without any proxy between."""
 
-    def __init__(self, folder):
-        made = vms.make(NET, folder, 1)
+    def __init__(self, folder, stack):
+        made = vms.make(vms.claim_net(stack), folder, 1)
         self.judge = judges.Judge(frozenset())
         self.vms = made
         for vm in made:
@@ -44,10 +44,11 @@
 @pytest.fixture
 def world(tmp_path):
     """Return a world whose processes end with the test."""
-    made = World(tmp_path)
-    yield made
-    for vm in made.vms:
-        vm.kill()
+    with contextlib.ExitStack() as stack:
+        made = World(tmp_path, stack)
+        for vm in made.vms:
+            stack.callback(vm.kill)
+        yield made
 
 
 def until(what, seconds):
