--- a/ebonytally/requests/request_client.py
+++ b/ebonytally/requests/request_client.py
@@ -1,6 +1,7 @@
 """Attempts at upstreams over HTTP/1.1."""
 
 import errno
+import math
 
 import attrs
 import gevent
@@ -256,7 +257,7 @@
 
     def _request_bytes(self) -> bytes:
         exchange = self._exchange
-        left_s = self.act.deadline - self._port.now()
+        left = timeout_text(self.act.deadline, self._port.now())
         lines = [f"{exchange.head.method} {exchange.target} HTTP/1.1"]
         lines += [
             f"{name}: {value}"
@@ -267,7 +268,7 @@
         ]
         lines.append(f"{request_exchange.REQUEST_ID}: {self._id}")
         lines.append(f"{request_exchange.ATTEMPT}: {self.act.attempt}")
-        lines.append(f"{request_exchange.TIMEOUT}: {max(left_s, 0):.3f}")
+        lines.append(f"{request_exchange.TIMEOUT}: {left}")
         if exchange.body or exchange.head.method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(exchange.body)}")
         text = "\r\n".join(lines) + "\r\n\r\n"
@@ -388,3 +389,12 @@
             if part and self._rest is not None:
                 self._rest.put(part)
         return _KIND.ANSWERED
+
+
+def timeout_text(deadline: float, now: float) -> str:
+    """Return the seconds left as upstreams are told, never more.
+
+    :param deadline: seconds, on the clock of `now`
+    """
+    left_ms = max(0, math.floor((deadline - now) * 1000))
+    return f"{left_ms / 1000:.3f}"
--- a/tests/test_request_http.py
+++ b/tests/test_request_http.py
@@ -13,6 +13,7 @@
 
 from ebonytally import actions
 from ebonytally import ports
+from ebonytally.requests import request_client
 from ebonytally.requests import request_http
 from ebonytally.requests import requests
 from ebonytally import settings
@@ -209,6 +210,14 @@
         yield start
 
 
+@pytest.mark.parametrize(
+    ("left_s", "text"),
+    [(1.9996, "1.999"), (2.0, "2.000"), (0.0004, "0.000"), (-1.0, "0.000")],
+)
+def test_an_upstream_is_never_told_more_time_than_is_left(left_s, text):
+    assert request_client.timeout_text(left_s, 0.0) == text
+
+
 def test_request_and_answer_pass_whole(setting):
     glue, (upstream,) = setting(lambda head, body: _reply(head, body * 2))
     caller = Caller(glue)
