A malformed message or a failing handler ends no receiver

Cause: wire.decode looked up a kind that can't be hashed and raised TypeError; an unexpected error while a frame or packet was handled ended the greenlet that receives them, and the process went on, deaf.

--- a/ebonytally/peer_datagrams.py
+++ b/ebonytally/peer_datagrams.py
@@ -15,6 +15,8 @@
 MAX_RECEIVE_BYTES = 65536
 # Frames after which other greenlets get to run.
 FRAMES_PER_YIELD = 64
+# Keeps a socket that fails each time from taking all processor time.
+FAILURE_PAUSE_S = 0.01
 
 
 class DatagramTransport:
@@ -73,8 +75,13 @@
     def _receive(self) -> None:
         received = 0
         while True:
-            frame, source = self._socket.recvfrom(MAX_RECEIVE_BYTES)
-            self.handle_frame(frame, source[0])
+            source = ("", 0)
+            try:
+                frame, source = self._socket.recvfrom(MAX_RECEIVE_BYTES)
+                self.handle_frame(frame, source[0])
+            except Exception:
+                recorders.log_failure(self._recorder, "frame", source[0])
+                gevent.sleep(FAILURE_PAUSE_S)
             received += 1
             if received % FRAMES_PER_YIELD == 0:
                 gevent.sleep(0)
--- a/ebonytally/platform/packet_port.py
+++ b/ebonytally/platform/packet_port.py
@@ -19,6 +19,8 @@
 RECEIVE_BUFFER_BYTES = 1024 * 1024
 # Packets after which other greenlets get to run.
 PACKETS_PER_YIELD = 64
+# Keeps a socket that fails each time from taking all processor time.
+FAILURE_PAUSE_S = 0.01
 
 
 class PacketPort:
@@ -75,16 +77,23 @@
     def _receive(self) -> None:
         received = 0
         while True:
-            data, source = self._socket.recvfrom(MAX_RECEIVE_BYTES)
-            packet = packet_wire.decode(data)
-            if packet is None:
-                self._refuse_malformed(source[0], len(data))
-            else:
-                self.send(self._on_packet(packet))
+            try:
+                self._receive_one()
+            except Exception:
+                recorders.log_failure(self._recorder, "packet", "")
+                gevent.sleep(FAILURE_PAUSE_S)
             received += 1
             if received % PACKETS_PER_YIELD == 0:
                 gevent.sleep(0)
 
+    def _receive_one(self) -> None:
+        data, source = self._socket.recvfrom(MAX_RECEIVE_BYTES)
+        packet = packet_wire.decode(data)
+        if packet is None:
+            self._refuse_malformed(source[0], len(data))
+        else:
+            self.send(self._on_packet(packet))
+
     def _refuse_malformed(self, source: str, size: int) -> None:
         reason = reasons.Refusal.PACKET_MALFORMED
         self._recorder.count_refusal(reason)
--- a/ebonytally/recorder.py
+++ b/ebonytally/recorder.py
@@ -1,11 +1,15 @@
 """Recorder of log events, counters and durations."""
 
+import traceback
 from typing import Protocol
 
 from ebonytally import events
 from ebonytally import reasons
 
 
+MAX_TRACEBACK_CHARS = 480
+
+
 class Recorder(Protocol):
     """Records log events and metrics; never raises and never blocks."""
 
@@ -25,6 +29,20 @@
         """Add a duration to the histogram series `name`."""
 
 
+def log_failure(recorder: Recorder, step: str, peer: str) -> None:
+    """Log the exception being handled, with the end of its traceback.
+
+    :param step: name of the step that failed
+    :param peer: VM whose message is handled, "" for none
+    """
+    recorder.log_event(
+        events.Event.TASK_FAILED,
+        step=step,
+        peer=peer,
+        detail=traceback.format_exc()[-MAX_TRACEBACK_CHARS:],
+    )
+
+
 class MemoryRecorder:
     """Keeps events and metrics in memory, for tests and scenarios."""
 
--- a/ebonytally/roles.py
+++ b/ebonytally/roles.py
@@ -5,7 +5,6 @@
 import random
 import signal
 import sys
-import traceback
 from typing import Protocol
 
 import attrs
@@ -16,6 +15,7 @@
 from ebonytally import errors
 from ebonytally import events
 from ebonytally import live_recorder
+from ebonytally import recorder as recorders
 from ebonytally import system_clock
 
 ENTRY_TICK_INTERVAL_S = 0.02
@@ -177,12 +177,7 @@
     try:
         call()
     except Exception:
-        recorder.log_event(
-            events.Event.TASK_FAILED,
-            step=step,
-            peer=peer,
-            detail=traceback.format_exc()[-480:],
-        )
+        recorders.log_failure(recorder, step, peer)
 
 
 def run(
--- a/ebonytally/wire.py
+++ b/ebonytally/wire.py
@@ -166,7 +166,7 @@
     if not isinstance(version, int) or version < OLDEST_VERSION:
         detail = f"version {version}, expected {OLDEST_VERSION} or later"
         raise _frame_error(reasons.Refusal.FRAME_VERSION, detail)
-    cls = _CLASS_BY_KIND.get(kind)
+    cls = _CLASS_BY_KIND.get(kind) if isinstance(kind, int) else None
     if cls is None or not isinstance(sender, str):
         sender_type = type(sender).__name__
         detail = f"unknown kind {kind} or sender of type {sender_type}"
