--- a/ebonytally/agreement/agreement_state.py
+++ b/ebonytally/agreement/agreement_state.py
@@ -186,10 +186,16 @@
         return index
 
     def truncate(self, first: int) -> None:
-        """Drop the entries from `first` on, with their voter lists."""
-        self.storage.truncate(first)
-        while self.voter_sets and self.voter_sets[-1][0] >= first:
-            self.voter_sets.pop()
+        """Drop the entries from `first` on, with their voter lists.
+
+        :raises StorageError: if the disk fails; they are dropped even so
+        """
+        try:
+            self.storage.truncate(first)
+        finally:
+            last = self.storage.last_index
+            while self.voter_sets and self.voter_sets[-1][0] > last:
+                self.voter_sets.pop()
 
     def load_voters(self) -> None:
         """Reload the voter lists from snapshot and log."""
--- a/ebonytally/agreement/log_storage.py
+++ b/ebonytally/agreement/log_storage.py
@@ -147,6 +147,8 @@
         self._first = 1
         self._needs_new_segment = False
         self._needs_trim = False
+        # Files of dropped segments, highest index first.
+        self._obsolete: list[str] = []
         self._noted_commit = 0
         self.commit = 0
         self.snapshot: Snapshot | None = self._read_snapshot()
@@ -176,8 +178,8 @@
 
     @property
     def is_clean(self) -> bool:
-        """Return whether no failed write is left on disk to trim."""
-        return not self._needs_trim
+        """Return whether nothing that was dropped is left on disk."""
+        return not (self._needs_trim or self._obsolete)
 
     @property
     def is_empty(self) -> bool:
@@ -242,7 +244,7 @@
             expected = self.last_index + 1
             detail = f"expected entry {expected}, got {entries[0].index}"
             raise ValueError(detail)
-        self._trim_failed_write()
+        self._remove_dropped()
         segment = self._segment_for(entries[0].index)
         data = b"" if segment.size else _SEGMENT_HEADER
         offsets = []
@@ -260,7 +262,7 @@
         written = bool(self._segments) and self._segments[-1].size > 0
         if not written or self._noted_commit == self.commit:
             return
-        self._trim_failed_write()
+        self._remove_dropped()
         data = log_records.encode_commit_note(self.last_index, self.commit)
         self._write(self._segments[-1], data, durable=False)
         self._noted_commit = self.commit
@@ -268,7 +270,11 @@
     def truncate(self, first: int) -> None:
         """Drop the entries from `first` on.
 
+        They are dropped in memory even if the disk fails; the next write
+        removes them from disk first.
+
         :raises DamagedLogError: if a committed entry would be dropped
+        :raises StorageError: if they can't be removed from disk yet
         """
         if first <= self.commit:
             detail = (
@@ -276,22 +282,17 @@
                 f"entries up to {self.commit} are committed"
             )
             raise errors.DamagedLogError("truncate log", "", detail)
-        self._trim_failed_write()
         while self._segments and self._segments[-1].first >= first:
-            self._disk.remove(self._segments[-1].name)
-            removed = self._segments.pop()
-            del self._entries[removed.first - self._first :]
-        if not self._segments:
-            return
-        segment = self._segments[-1]
-        keep = first - segment.first
-        if keep >= len(segment.offsets):
-            return
-        size = segment.offsets[keep]
-        self._disk.truncate(segment.name, size)
-        segment.size = size
-        del segment.offsets[keep:]
+            self._drop_last_segment()
+        if self._segments:
+            segment = self._segments[-1]
+            keep = first - segment.first
+            if keep < len(segment.offsets):
+                segment.size = segment.offsets[keep]
+                del segment.offsets[keep:]
+                self._needs_trim = True
         del self._entries[first - self._first :]
+        self._remove_dropped()
 
     def save_snapshot(self, snapshot: Snapshot, keep: int) -> None:
         """Save a snapshot of applied entries and compact the log.
@@ -317,12 +318,26 @@
             self._drop_all()
 
     def _drop_all(self) -> None:
+        """Drop a log that the snapshot replaces.
+
+        A disk failure is only logged: the snapshot is in force, and the
+        next write removes the files first.
+        """
         while self._segments:
-            self._disk.remove(self._segments[-1].name)
-            self._segments.pop()
+            self._drop_last_segment()
         self._entries.clear()
-        self._needs_trim = False
         self._first = self.snapshot.index + 1 if self.snapshot else 1
+        try:
+            self._remove_dropped()
+        except errors.StorageError as exc:
+            self._recorder.log_event(
+                events.Event.STORAGE_FAILED, error=str(exc)
+            )
+
+    def _drop_last_segment(self) -> None:
+        segment = self._segments.pop()
+        self._obsolete.append(segment.name)
+        self._needs_trim = False
 
     def _drop_below(self, index: int) -> None:
         while len(self._segments) > 1 and self._segments[0].last <= index:
@@ -352,12 +367,18 @@
         except errors.StorageError:
             self._needs_trim = True
             with contextlib.suppress(errors.StorageError):
-                self._trim_failed_write()
+                self._remove_dropped()
             raise
         segment.size += len(data)
 
-    def _trim_failed_write(self) -> None:
-        """Remove bytes that a failed write may have left on disk."""
+    def _remove_dropped(self) -> None:
+        """Remove from disk what was dropped or written only in part.
+
+        :raises StorageError: if the disk fails; the next call continues
+        """
+        while self._obsolete:
+            self._disk.remove(self._obsolete[0])
+            self._obsolete.pop(0)
         if not self._needs_trim:
             return
         segment = self._segments[-1]
--- a/tests/agreement_fakes.py
+++ b/tests/agreement_fakes.py
@@ -28,12 +28,21 @@
 
 
 class Disk:
-    """Files in memory; unsynced data is lost in a crash."""
+    """Files in memory; unsynced data is lost in a crash.
+
+    :ivar full: each change fails
+    :ivar steps_to_full: number of changes after which the disk is full,
+        None for never
+    :ivar fails_in_sync: what a full disk truncates or removes takes effect,
+        but isn't durable and is reported as failed
+    """
 
     def __init__(self):
         self.durable: dict[str, bytes] = {}
         self.files: dict[str, bytes] = {}
         self.full = False
+        self.steps_to_full = None
+        self.fails_in_sync = False
         self.ignores_sync = False
         self.steps_to_power_loss = None
 
@@ -42,9 +51,17 @@
             self.steps_to_power_loss -= 1
             if self.steps_to_power_loss < 0:
                 raise PowerLostError
+        if self.steps_to_full is not None:
+            self.full = self.full or self.steps_to_full <= 0
+            self.steps_to_full -= 1
         if self.full:
             raise errors.StorageError(step, "disk", "no space left")
 
+    def make_room(self):
+        """End a full disk."""
+        self.full = False
+        self.steps_to_full = None
+
     def read(self, name):
         return self.files.get(name)
 
@@ -67,14 +84,16 @@
             self.durable[name] = data
 
     def truncate(self, name, size):
-        if self.steps_to_power_loss is not None:
-            self._check("truncate")
+        if self.fails_in_sync:
+            self.files[name] = self.files[name][:size]
+        self._check("truncate")
         self.files[name] = self.files[name][:size]
         self.durable[name] = self.files[name]
 
     def remove(self, name):
-        if self.steps_to_power_loss is not None:
-            self._check("remove")
+        if self.fails_in_sync:
+            self.files.pop(name, None)
+        self._check("remove")
         self.files.pop(name, None)
         self.durable.pop(name, None)
 
--- a/tests/test_agreement_storage.py
+++ b/tests/test_agreement_storage.py
@@ -1,5 +1,6 @@
 """Tests of the log on disk: crashes, damage, a full disk."""
 
+import contextlib
 import os
 import random
 
@@ -92,6 +93,9 @@
     assert f"damaged-{name}" in aside
 
 
+STEPS_TO_FULL = st.one_of(st.none(), st.integers(0, 4))
+
+
 class StorageMachine(stateful.RuleBasedStateMachine):
     """Random use of the storage, compared with a list of entries."""
 
@@ -115,41 +119,76 @@
             self.model += entries
         self.disk.full = False
 
-    @stateful.rule(share=st.floats(0, 1))
-    def truncate(self, share):
+    @stateful.rule(share=st.floats(0, 1), steps=STEPS_TO_FULL)
+    def truncate(self, share, steps):
         low = self.storage.commit
         first = low + 1 + int(share * (len(self.model) - low))
-        self.storage.truncate(first)
+        with self.full_after(steps):
+            self.storage.truncate(first)
         del self.model[first - 1 :]
         self.term += 1
 
-    @stateful.rule(share=st.floats(0, 1))
-    def commit(self, share):
+    @stateful.rule(share=st.floats(0, 1), steps=STEPS_TO_FULL)
+    def commit(self, share, steps):
         low = self.storage.commit
-        self.storage.note_commit(low + int(share * (len(self.model) - low)))
+        with self.full_after(steps):
+            index = low + int(share * (len(self.model) - low))
+            self.storage.note_commit(index)
 
-    @stateful.rule(keep=st.integers(0, 30))
-    def snapshot(self, keep):
+    @stateful.rule(keep=st.integers(0, 30), steps=STEPS_TO_FULL)
+    def snapshot(self, keep, steps):
         index = self.storage.commit
         old = self.storage.snapshot
         if index == 0 or (old and old.index >= index):
             return
         term = self.model[index - 1].term
         snapshot = messages.Snapshot(index, term, None, (), b"state")
-        self.storage.save_snapshot(snapshot, keep)
+        with self.full_after(steps):
+            self.storage.save_snapshot(snapshot, keep)
 
-    @stateful.rule(ahead=st.integers(1, 50))
-    def install(self, ahead):
+    @stateful.rule(ahead=st.integers(1, 50), steps=STEPS_TO_FULL)
+    def install(self, ahead, steps):
         index = len(self.model) + ahead
         self.term += 1
         snapshot = messages.Snapshot(index, self.term, None, (), b"state")
-        self.storage.install_snapshot(snapshot)
+        with self.full_after(steps) as failed:
+            self.storage.install_snapshot(snapshot)
+        if failed:
+            assert self.storage.snapshot is not snapshot
+            return
         self.model = list(_entries(1, index, self.term))
 
+    @stateful.rule(in_sync=st.booleans())
+    def fail_in_sync(self, in_sync):
+        self.disk.fails_in_sync = in_sync
+
     @stateful.rule(torn=st.booleans())
     def crash(self, torn):
+        was_clean = self.storage.is_clean
         self.disk.crash(self.rng if torn else None)
         self.storage = _open(self.disk)
+        if not was_clean:
+            self.restore_dropped()
+
+    def restore_dropped(self):
+        """Expect entries whose removal from disk had failed."""
+        for index in range(len(self.model) + 1, self.storage.last_index + 1):
+            self.model.append(self.storage.entry(index))
+
+    @contextlib.contextmanager
+    def full_after(self, steps):
+        """Let the disk be full after some changes, None for never.
+
+        :returns: list that isn't empty once the disk has failed
+        """
+        failed = []
+        self.disk.steps_to_full = steps
+        try:
+            yield failed
+        except errors.StorageError:
+            assert steps is not None
+            failed.append(True)
+        self.disk.make_room()
 
     @stateful.invariant()
     def keeps_all_entries(self):
@@ -183,3 +222,74 @@
         assert [record.entry for record in scan.records] == [entry]
         assert scan.end == len(whole)
         assert scan.damaged_after == -1
+
+
+@pytest.mark.parametrize("steps", range(8))
+def test_a_follower_whose_disk_is_full_at_any_write_of_a_snapshot_recovers(
+    steps,
+):
+    """The snapshot was in force, but never reached the state machine."""
+    cluster = fakes.Cluster(("a", "b", "c"), seed=3)
+    leader = cluster.elect()
+    lagging = next(name for name in "abc" if name != leader)
+    cluster.isolate(lagging)
+    for number in range(90):
+        assert cluster.put(f"t{number}", f"v{number}").is_committed
+    cluster.cuts.clear()
+    cluster.disks[lagging].steps_to_full = steps
+    cluster.run(3.0)
+    cluster.disks[lagging].make_room()
+    cluster.run(3.0)
+    assert cluster.put("last", "last").is_committed
+    cluster.run(1.0)
+    values = [f"v{number}" for number in range(90)] + ["last"]
+    assert cluster.machines[lagging].values == values
+
+
+@pytest.mark.parametrize("in_sync", [False, True])
+def test_entries_after_a_failed_truncation_survive_a_restart(in_sync):
+    """The file was shorter than the log in memory, or still longer."""
+    disk = fakes.Disk()
+    storage = _open(disk)
+    storage.append(_entries(1, 6))
+    disk.full = True
+    disk.fails_in_sync = in_sync
+    with pytest.raises(errors.StorageError):
+        storage.truncate(4)
+    disk.make_room()
+    storage.append(_entries(4, 2, term=2))
+    disk.crash()
+    reopened = _open(disk)
+    assert reopened.last_index == 5
+    assert [reopened.term_at(index) for index in range(1, 6)] == [
+        1,
+        1,
+        1,
+        2,
+        2,
+    ]
+
+
+def test_disks_full_in_turn_leave_a_cluster_that_takes_changes():
+    """Leader after leader has a full disk, at any of its next writes."""
+    for steps in range(6):
+        cluster = fakes.Cluster(("a", "b", "c"), seed=steps)
+        count = 0
+        for _ in range(6):
+            name = cluster.elect()
+            cluster.disks[name].steps_to_full = steps
+            cluster.disks[name].fails_in_sync = bool(steps % 2)
+            for _ in range(12):
+                count += 1
+                cluster.propose(name, f"t{count}", f"v{count}")
+                cluster.run(0.2)
+            cluster.disks[name].make_room()
+            cluster.run(0.5)
+        cluster.run(4.0)
+        leader = cluster.elect()
+        cluster.propose(leader, "last", "last")
+        cluster.run(1.0)
+        assert cluster.decided["last"].is_committed
+        cluster.run(2.0)
+        for machine in cluster.machines.values():
+            assert machine.values == cluster.machines[leader].values
