Append an operator's order at most once

Cause: a leader that lost its majority kept an order whose operator had gone and forwarded it to its successor for up to 5 s. The operator had repeated the order there; had it been withdrawn since, the late copy undid the withdrawal. Change: orders are proposed with once: appended by the VM that leads when they arrive, never again and nowhere else.

--- a/ebonytally/agreement/agreement.py
+++ b/ebonytally/agreement/agreement.py
@@ -196,15 +196,19 @@
         token: str,
         command: object,
         now: float,
+        once: bool = False,
     ) -> list[actions.Action]:
         """Propose a command for the log.
 
         :param token: idempotency key of the proposal; retries use the
             same one and are applied once
+        :param once: append the command at most once, and only if this VM
+            leads: a proposer that repeats it elsewhere must not meet a
+            late copy of it after a later command
         :returns: actions; the outcome is an `actions.ProposalResult`, now or
             from a later call
         """
-        self._guard(lambda: self._propose(token, command, now), now)
+        self._guard(lambda: self._propose(token, command, now, once), now)
         return self._take_actions()
 
     def handle(
@@ -248,8 +252,10 @@
             self._state.follow(self._state.term, "")
         self._election.restart_timer(self._disk_retry_at)
 
-    def _propose(self, token: str, command: object, now: float) -> None:
-        self._proposals.propose(token, command, now)
+    def _propose(
+        self, token: str, command: object, now: float, once: bool
+    ) -> None:
+        self._proposals.propose(token, command, now, once)
         self._advance(now)
 
     def _tick(self, now: float) -> None:
--- a/ebonytally/agreement/agreement_proposals.py
+++ b/ebonytally/agreement/agreement_proposals.py
@@ -23,12 +23,14 @@
     :param deadline: seconds, when waiting for the outcome ends
     :param retry_at: seconds, when the next attempt is due
     :param attempt: number of the last attempt, 0 for none
+    :param once: append it to the local log once, and forward it nowhere
     :param open_attempts: attempts that may have been appended to a log
     """
 
     command: bytes
     deadline: float
     retry_at: float
+    once: bool = False
     attempt: int = 0
     open_attempts: set[int] = attrs.field(factory=set)
 
@@ -47,9 +49,16 @@
         self._pending: dict[str, _Pending] = {}
         self._peers_by_token: dict[str, dict[str, int]] = {}
 
-    def propose(self, token: str, command: object, now: float) -> None:
+    def propose(
+        self,
+        token: str,
+        command: object,
+        now: float,
+        once: bool = False,
+    ) -> None:
         """Start a proposal of this VM.
 
+        :param once: append it at most once, and only if this VM leads
         :raises ValueError: if the token is empty
         """
         if not token:
@@ -62,8 +71,11 @@
         if not self._state.leader:
             self._refuse(token, reasons.Refusal.NO_LEADER)
             return
+        if once and not self._state.is_leader:
+            self._refuse(token, reasons.Refusal.NOT_LEADER)
+            return
         packed = wire.pack_message(command)
-        pending = _Pending(packed, now + DEADLINE_S, now)
+        pending = _Pending(packed, now + DEADLINE_S, now, once)
         self._pending[token] = pending
         self._send_attempt(token, pending, now)
 
@@ -74,7 +86,7 @@
         for token, pending in list(self._pending.items()):
             if now >= pending.deadline:
                 self._expire(token, pending)
-            elif now >= pending.retry_at:
+            elif now >= pending.retry_at and not pending.once:
                 retry = reasons.Retry.PROPOSAL_UNANSWERED
                 self._state.recorder.count_retry(retry)
                 self._send_attempt(token, pending, now)
--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -140,12 +140,16 @@
         command: object,
         now: float,
     ) -> list[actions.Action]:
-        """Propose a command to the log.
+        """Propose an operator's command to the log, at most once.
+
+        An operator without an answer repeats its order at another control
+        VM; appended again after a change of leader, this copy could undo a
+        later order.
 
         :param token: returned with the outcome in `actions.ProposalResult`
         """
         propose = self.agreement.propose
-        return self._run_call(propose, token, command, now)
+        return self._run_call(propose, token, command, now, True)
 
     def read(self, token: str, now: float) -> list[actions.Action]:
         """Start a linearizable read; `actions.ProposalResult` tells its end.
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -314,3 +314,34 @@
         event.name == "REGISTER_NOT_KEPT"
         for event, _ in cluster.recorder.events
     )
+
+
+def test_a_late_copy_of_an_order_never_undoes_a_later_one():
+    """The old leader kept a copy and proposed it to its successor.
+
+    The operator had repeated the order there and since withdrawn it.
+    """
+    cluster = started_cluster()
+    old = cluster.leader
+    out = machines.DataCentreSet("north", True)
+    back = machines.DataCentreSet("north", False)
+    cluster.cut = {old.local_vm}
+    actions_ = old.propose("copy", out, cluster.now)
+    cluster.perform(old.local_vm, actions_)
+    while cluster.leader is None:
+        cluster.run(0.1)
+    assert cluster.propose(cluster.leader, out)
+    assert cluster.propose(cluster.leader, back)
+    cluster.cut = set()
+    cluster.run(6.0)
+    assert cluster.leader.machine.state.out == ()
+
+
+def test_an_order_at_a_control_vm_that_does_not_lead_is_refused_at_once():
+    cluster = started_cluster()
+    follower = next(
+        node for node in cluster.nodes.values() if not node.agreement.is_leader
+    )
+    actions_ = follower.propose("copy", put_command(9), cluster.now)
+    (result,) = actions_
+    assert not result.is_committed
