Try the transfer of leadership at each tick of a planned stop

Cause: it was tried once, at the signal; during a series of orders no voter may have the whole log at that moment, and the leader ended without a successor. Result: a new test, which failed on the code before.

--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -94,6 +94,7 @@
         )
         self._token_count = 0
         self._start = start
+        self._stopping = False
 
     @property
     def leader(self) -> str:
@@ -196,6 +197,8 @@
         if self.agreement.is_leader:
             self.agreement.set_wanted_voters(self._wanted_voters(now))
         actions_ = self._run_call(self.agreement.tick, now)
+        if self._stopping:
+            actions_ += self._run_call(self.agreement.transfer_leadership, now)
         voters = tuple(voter.name for voter in self.agreement.voters)
         actions_ += self.exchange.tick(
             voters,
@@ -206,7 +209,12 @@
         return actions_ + self._start_notifier.tick(now)
 
     def stop(self, now: float) -> list[actions.Action]:
-        """Transfer leadership before a planned stop."""
+        """Transfer leadership before a planned stop.
+
+        Under load no other voter may have the whole log yet; the transfer
+        is tried again at each tick.
+        """
+        self._stopping = True
         return self._run_call(self.agreement.transfer_leadership, now)
 
     def _save_registry(
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -345,3 +345,20 @@
     actions_ = follower.propose("copy", put_command(9), cluster.now)
     (result,) = actions_
     assert not result.is_committed
+
+
+def test_leadership_is_transferred_at_a_stop_during_a_burst_of_orders():
+    """No voter had the whole log at the moment of the signal."""
+    cluster = started_cluster()
+    leader = cluster.leader
+    others = set("abcd") - {leader.local_vm}
+    cluster.suspended = others
+    actions_ = leader.propose("order", put_command(9), cluster.now)
+    cluster.perform(leader.local_vm, actions_)
+    cluster.perform(leader.local_vm, leader.stop(cluster.now))
+    cluster.suspended = set()
+    cluster.run(1.0)
+    assert cluster.leader is not None
+    assert cluster.leader is not leader
+    cluster.run(0.5)
+    assert cluster.outcomes["order"].is_committed
