Save the registry again after a failed save

Cause: a save that failed, as on a full disk, counted as done until the next change; a restart loaded an older registry. Result: a new test, which failed on the code before.

--- a/ebonytally/registry/registry_store.py
+++ b/ebonytally/registry/registry_store.py
@@ -90,10 +90,9 @@
         now: float,
         wall: float,
     ) -> None:
-        """Save the registry; a failed write is only logged."""
+        """Save the registry; a failed write is logged and soon retried."""
         self._saved_at = now
-        self._entry_vms = entry_vms
-        self._revision = self._registry.revision
+        revision = self._registry.revision
         records_ = tuple(
             self._registry.to_record(entry, now)
             for entry in self._registry.entries()
@@ -104,6 +103,9 @@
             )
         except errors.StorageError as exc:
             self._log_failure(exc)
+            return
+        self._entry_vms = entry_vms
+        self._revision = revision
 
     def _log_failure(self, exc: errors.EbonytallyError) -> None:
         self._recorder.log_event(
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -362,3 +362,17 @@
     assert cluster.leader is not leader
     cluster.run(0.5)
     assert cluster.outcomes["order"].is_committed
+
+
+def test_the_registry_is_saved_once_a_full_disk_has_room():
+    cluster = started_cluster()
+    node = cluster.nodes["d"]
+    announcement = echo_harness.announcement(1)
+    cluster.disks["d"].full = True
+    cluster.perform("d", node.on_announcement(announcement, cluster.now))
+    cluster.run(1.2)
+    cluster.disks["d"].make_room()
+    cluster.run(1.2)
+    cluster.stop("d")
+    cluster.start("d")
+    assert cluster.nodes["d"].registry.get(announcement.id) is not None
