Don't count a pause of this VM as a silence of others

Cause: after a pause a control VM took upstreams for silent whose announcements waited in its sockets, and an entry VM backed off upstreams whose flows had opened meanwhile. Change: timeouts are extended by the time between two ticks, if it is longer than 0.5 s (control) or 0.3 s (entry); event 107.

--- a/ebonytally/echo/openings.py
+++ b/ebonytally/echo/openings.py
@@ -18,6 +18,9 @@
 # packet within a few milliseconds, and the caller's next packet follows.
 RETRY_AFTER_S = 0.06
 MAX_TRIES = 3
+# A longer time between two ticks means that this VM was paused: answers may
+# wait in its socket, so upstreams weren't silent meanwhile.
+MAX_TICK_GAP_S = 0.3
 # Callers give up an attempt after 1.4 s.
 OPENING_TIMEOUT_S = 1.5
 MAX_OPENINGS = 20_000
@@ -60,6 +63,7 @@
         self._cookies = cookies
         self._recorder = recorder
         self._openings: dict[bytes, _Opening] = {}
+        self._ticked_at = 0.0
 
     def __contains__(self, key: bytes) -> bool:
         """Return whether a flow is being opened here."""
@@ -90,6 +94,8 @@
         """Handle a retransmitted opening packet: its caller still waits."""
         opening = self._openings[packet.key]
         opening.packet = packet
+        if now - self._ticked_at > MAX_TICK_GAP_S:
+            return self._resend(opening, opening.tried[-1])
         return self._try_next(opening, "copy", now)
 
     def on_opened(self, key: bytes, id_: str, now: float) -> None:
@@ -104,7 +110,11 @@
     def tick(self, now: float) -> Offers:
         """Retry openings whose upstream hasn't answered; drop old ones."""
         out: Offers = []
+        paused_s = now - self._ticked_at
+        self._ticked_at = now
         for key, opening in list(self._openings.items()):
+            if paused_s > MAX_TICK_GAP_S:
+                opening.sent_at = now
             if now - opening.began_at > OPENING_TIMEOUT_S:
                 self._remove(key, opening)
             elif (
--- a/ebonytally/registry/gossip.py
+++ b/ebonytally/registry/gossip.py
@@ -18,6 +18,9 @@
 RESEND_AFTER_S = 0.2
 # A difference in two successive digests is not a change still in transit.
 DIFFERING_DIGESTS = 2
+# A longer time between two ticks means that this VM was paused, and that
+# messages may wait in its sockets.
+MAX_TICK_GAP_S = 0.5
 RECORDS_PER_MESSAGE = 8
 
 
@@ -57,6 +60,7 @@
         self._peers: dict[str, _Peer] = {}
         self._resends: list[tuple[float, str]] = []
         self._digest_at = 0.0
+        self._ticked_at: float | None = None
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds by those of changed settings."""
@@ -123,6 +127,7 @@
         """
         self._voters = voters
         out: list[actions.Action] = []
+        self._extend_timeouts_after_pause(now)
         self._detect_lost_peers(now)
         heard = frozenset(self.live_peers(now))
         for entry in self._registry.mark_silent_upstreams(heard, now):
@@ -139,6 +144,20 @@
             out += [actions.Send(name, msg) for name in self._peer_names()]
         return out
 
+    def _extend_timeouts_after_pause(self, now: float) -> None:
+        """Don't count a pause of this VM as a silence of others."""
+        last = self._ticked_at
+        self._ticked_at = now
+        if last is None or now - last <= MAX_TICK_GAP_S:
+            return
+        paused_s = now - last
+        self._recorder.log_event(
+            events.Event.PAUSED, paused_s=round(paused_s, 3)
+        )
+        self._registry.extend_timeouts(paused_s)
+        for peer in self._peers.values():
+            peer.heard_at += paused_s
+
     def _detect_lost_peers(self, now: float) -> None:
         for name, peer in self._peers.items():
             silent_s = now - peer.heard_at
--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -206,6 +206,11 @@
         silent_entry.heard_at = heard_at
         return silent_entry
 
+    def extend_timeouts(self, paused_s: float) -> None:
+        """Extend the timeouts of all upstreams by a pause of this VM."""
+        for entry in self._entries.values():
+            entry.heard_at += paused_s
+
     def on_source_lost(self, source: str, now: float) -> None:
         """Restart the silence timeout of a lost control VM's upstreams."""
         for entry in self._entries.values():
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -376,3 +376,19 @@
     cluster.stop("d")
     cluster.start("d")
     assert cluster.nodes["d"].registry.get(announcement.id) is not None
+
+
+def test_a_control_vm_that_was_paused_takes_no_upstream_for_silent():
+    """The announcements that it missed wait in its sockets."""
+    cluster = started_cluster()
+    node = cluster.nodes["d"]
+    for number in range(1, 4):
+        announcement = echo_harness.announcement(number)
+        cluster.perform("d", node.on_announcement(announcement, cluster.now))
+    cluster.run(0.2)
+    cluster.suspended = {"d"}
+    cluster.run(3.5)
+    cluster.suspended = set()
+    cluster.run(0.2)
+    states = {entry.record.state for entry in node.registry.entries()}
+    assert states == {records.State.READY}
--- a/tests/test_echo_flows.py
+++ b/tests/test_echo_flows.py
@@ -285,3 +285,15 @@
     entry.packet(1, is_opening=True)
     entry.run(1.0)
     assert silences(entry, 2) == [1, 1]
+
+
+def test_a_pause_of_the_entry_vm_counts_as_no_silence_of_upstreams():
+    """The answers to its openings wait in its socket."""
+    _, entry = harness.make_harness(upstreams=3)
+    first = entry.packet(1, is_opening=True)[0].id
+    entry.now += 1.0
+    (copy,) = entry.packet(1, is_opening=True)
+    assert copy.id == first
+    entry.run(0.04)
+    assert entry.sent == []
+    assert silences(entry, 3) == [0, 0, 0]
