--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -1,4 +1,4 @@
-"""HTTP connections are closed after a time limit."""
+"""HTTP connections are closed after a time limit, or when many are open."""
 
 import contextlib
 
@@ -36,3 +36,21 @@
         assert conn.recv(4096).startswith(b"HTTP/1.1 200")
         assert conn.recv(4096) == b""
     assert "Traceback" not in capfd.readouterr().err
+
+
+def test_idle_connections_keep_no_other_caller_out(monkeypatch):
+    """More upstreams announce themselves than connections are allowed."""
+    monkeypatch.setattr(http_server, "MAX_CONNECTIONS", 4)
+    endpoint = deployment.Endpoint(ADDRESS, free_port())
+    address = (endpoint.address, endpoint.port)
+    answered = 0
+    with contextlib.ExitStack() as stack:
+        http_server.serve(
+            endpoint, stack, lambda environ: ("200 OK", [], b"x")
+        )
+        for _ in range(12):
+            conn = socket.create_connection(address, timeout=1.0)
+            stack.callback(conn.close)
+            conn.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            answered += conn.recv(4096).startswith(b"HTTP/1.1 200")
+    assert answered == 12
