Mend three known reds: gone callers, early messages, drained upstreams

on_caller_gone asked for a method that doesn't exist; it is is_open. A message or packet during the start met ports that weren't open; such events are now kept until they are, up to 10,000. A restarted grantor granted slots of a draining upstream until its next announcement; it now grants nothing of an upstream in its data centre before it has heard it.

--- a/ebonytally/daemon.py
+++ b/ebonytally/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import functools
 import signal
 import sys
 import traceback
@@ -35,6 +36,9 @@
 STOP_TIMEOUT_S = 150.0
 STOP_POLL_INTERVAL_S = 0.05
 MIN_HANDOVER_S = 0.5
+# Importing gRPC takes up to a second. The senders of what is dropped beyond
+# this number retransmit it.
+MAX_EARLY_EVENTS = 10_000
 EXIT_DONE = 0
 EXIT_FAILED = 1
 
@@ -56,6 +60,7 @@
         self._cfg = cfg
         self._stop_requested = gevent_event.Event()
         self._stopping = False
+        self._early_events: list[Callable[[], None]] | None = []
         self._cached_vms: tuple[view.Vm, ...] = ()
         self._address_by_name: dict[str, str] = {}
         folder_lock.lock(stack, cfg.data_folder)
@@ -77,6 +82,7 @@
         )
         self._open_ports(stack)
         stack.callback(control_runner.greenlet.kill)
+        self._handle_early_events()
         self._recorder.log_event(
             events.Event.STARTED,
             incarnation=incarnation,
@@ -206,11 +212,31 @@
                 detail=traceback.format_exc(),
             )
 
+    def _handle_early_events(self) -> None:
+        """Handle what arrived before all ports were open, in its order."""
+        early = self._early_events or []
+        self._early_events = None
+        for handle in early:
+            handle()
+
+    def _defer_early(self, handle: Callable[[], None]) -> None:
+        """Keep an event until all ports that its actions need are open."""
+        if len(self._early_events) < MAX_EARLY_EVENTS:
+            self._early_events.append(handle)
+        else:
+            self._recorder.count("early_events_dropped")
+
     def _handle_packet(self, data: bytes) -> None:
+        if self._early_events is not None:
+            self._defer_early(functools.partial(self._handle_packet, data))
+            return
         with self._log_failure("packet", ""):
             self._perform(self._node.handle_packet(data, self._clock.now()))
 
     def _handle(self, peer: str, msg: object) -> None:
+        if self._early_events is not None:
+            self._defer_early(functools.partial(self._handle, peer, msg))
+            return
         with self._log_failure(type(msg).__name__, peer):
             self._perform(self._node.handle(peer, msg, self._clock.now()))
 
--- a/ebonytally/daemon_ports.py
+++ b/ebonytally/daemon_ports.py
@@ -50,7 +50,7 @@
         :return: True if the request continues and will be answered
         """
         self._perform(self._node.requests.on_caller_gone(req, self.now()))
-        return self._node.requests.known(req)
+        return self._node.requests.is_open(req)
 
     def on_attempt_end(
         self,
--- a/ebonytally/upstreams/slot_grantor.py
+++ b/ebonytally/upstreams/slot_grantor.py
@@ -91,6 +91,7 @@
             since=self._view.revision,
             settled=fresh,
             fresh=fresh,
+            announced=fresh,
             leases_end=now if fresh else now + wait_s,
         )
 
@@ -115,6 +116,8 @@
         """Record when the incarnation in the view last announced itself."""
         endpoint = self.endpoints.get(upstream)
         if endpoint is not None:
+            self._must_grant |= not endpoint.announced
+            endpoint.announced = True
             endpoint.warm.on_announcement(at)
 
     def handle_report(
@@ -299,6 +302,8 @@
         if endpoint.retired or not endpoint.settled:
             return 0
         local = upstream.data_centre == self._cfg.data_centre
+        if local and not endpoint.announced:
+            return 0
         allowed = upstream_choice.grantable(
             upstream.slots, local, self._leased
         )
--- a/ebonytally/upstreams/slot_grantor_state.py
+++ b/ebonytally/upstreams/slot_grantor_state.py
@@ -51,6 +51,8 @@
     :param settled: every entry VM knows this grantor, or grants of a
         former one can no longer be used
     :param fresh: it had no grantor before
+    :param announced: this process heard it; before, a restarted grantor
+        can't know whether it drains
     :param leases_end: until then, unheard holders of a former grantor may
         start attempts
     :param retired: it drains or has restarted, nothing is granted
@@ -66,6 +68,7 @@
     since: int
     settled: bool
     fresh: bool
+    announced: bool
     leases_end: float
     retired: bool = False
     recalled_at: float = float("-inf")
--- a/tests/test_daemon_ports.py
+++ b/tests/test_daemon_ports.py
@@ -62,6 +62,24 @@
     assert will_be_answered is False
 
 
+def test_keyed_request_of_a_gone_caller_goes_on():
+    port = Port()
+    head = request_head.RequestHead(
+        req=1,
+        service="desk",
+        method="POST",
+        idempotent=False,
+        key="",
+        content_digest=b"",
+        body_bytes=0,
+        deadline=port.clock.now() + 10.0,
+        wall=port.clock.wall(),
+    )
+    port.port.handle_request(head)
+    assert port.port.on_caller_gone(1) is False
+    assert port.port.on_caller_gone(1) is False
+
+
 def _settings(folder) -> settings.Settings:
     seeds = tuple(
         settings.Seed(f"vm-{n}", f"127.0.0.{n}", "dc-1", "west", n > 1)
