--- a/tests/test_request_http.py
+++ b/tests/test_request_http.py
@@ -308,6 +308,26 @@
     assert upstream.connections == 3
 
 
+def test_late_copy_on_a_connection_in_use_never_reaches_the_next_caller(
+    start_entry_vm,
+):
+    """The copy arrives after the next request was sent."""
+    earlier = []
+
+    def script(head, body):
+        answer = _upstream_reply(head, f"answer {len(earlier)}".encode())
+        late = earlier[-1] if earlier else b""
+        earlier.append(answer)
+        return late + answer
+
+    entry_vm, _ = start_entry_vm(script, script)
+    caller = Caller(entry_vm)
+    assert caller.ask().body == b"answer 0"
+    reply = caller.ask()
+    assert reply.status in (200, 502)
+    assert reply.body != b"answer 0"
+
+
 def test_connection_without_echoed_ids_is_not_reused(start_entry_vm):
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
     entry_vm, (upstream,) = start_entry_vm(lambda head, body: answer)
