Soak: full disks, orders in series, orders that stay unanswered

Disks are filled by a limit on the size of files; logs go through a pipe. The operator sends configurations in series, a run needs 20 acknowledged orders, and an order that isn't acknowledged within 8 s of an undisturbed majority is a violation. Older seeds keep their faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
 RECOVERY_S = 10.0
 SERVICE_CHECK_S = 3.0
 MIN_ANSWERED_SHARE = 0.9
+MIN_ORDERS = 20
 MAX_FAULT_PHASE_S = 90.0
 POLL_INTERVAL_S = 0.2
 SEEDS_FILE = pathlib.Path(__file__).parent / "seeds.txt"
@@ -73,6 +74,7 @@
 def _inject_faults(world: worlds.World, plan: list[faults.Fault]) -> None:
     """Inject all faults, wait for recovery and run the final checks."""
     tasks = faults.Faults(world).run(plan)
+    world.spawn(world.operator.run_series)
     until = time.monotonic() + MAX_FAULT_PHASE_S
     while not all(task.ready() for task in tasks):
         world.operator.check_read()
@@ -93,6 +95,7 @@
     gevent.sleep(SERVICE_CHECK_S)
     _check_service(world.judge, before)
     world.operator.check_final_read()
+    _check_orders(world.judge)
     world.check_processes()
 
 
@@ -110,6 +113,14 @@
         )
 
 
+def _check_orders(judge: judges.Judge) -> None:
+    """Check that the run tested orders at all."""
+    orders = judge.counts["orders"]
+    if orders < MIN_ORDERS:
+        detail = f"{orders} acknowledged, expected at least {MIN_ORDERS}"
+        judge.record_violation(time.monotonic(), "few orders", detail)
+
+
 def main(
     seeds: int = 0,
     minutes: float = 0.0,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,8 @@
 STOP_GRACE_S = 6.0
 MAX_DELAY_S = 0.4
 MAX_TORN_BYTES = 60
+# Share of the seeds in which disks fill up.
+FULL_DISK_SHARE = 0.4
 
 
 @attrs.frozen
@@ -47,8 +49,9 @@
     """Return the faults and changes of a seed, ordered by start."""
     rng = random.Random(seed)
     faults = []
+    kinds = sorted(KINDS.keys() - _DISK_KINDS)
     for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS)):
-        kind = rng.choice(sorted(KINDS))
+        kind = rng.choice(kinds)
         start_s = rng.uniform(0.0, FAULT_WINDOW_S)
         duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
         faults.append(Fault(start_s, kind, duration_s, rng.random()))
@@ -56,6 +59,12 @@
             # Repeat the fault while the first one may still be active.
             repeat_s = start_s + rng.uniform(0.1, duration_s + 1.0)
             faults.append(Fault(repeat_s, kind, duration_s, rng.random()))
+    # Drawn last, so that older seeds keep their faults.
+    if rng.random() < FULL_DISK_SHARE:
+        kind = rng.choice(sorted(_DISK_KINDS))
+        start_s = rng.uniform(0.0, FAULT_WINDOW_S)
+        duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        faults.append(Fault(start_s, kind, duration_s, rng.random()))
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -190,6 +199,23 @@
         vm = self._target(self._world.control, fault)
         self._restart([vm], fault, tear_log)
 
+    def full_disk(self, fault: Fault) -> None:
+        """Let a control VM's disk be full for the fault's duration."""
+        vm = self._target(self._world.control, fault)
+        self._fill_disk(vm, fault.duration_s)
+
+    def full_disks_in_turn(self, fault: Fault) -> None:
+        """Let each control VM's disk be full, one after another."""
+        for vm in self._world.control:
+            self._fill_disk(vm, fault.duration_s / 2)
+
+    def _fill_disk(self, vm: vms.Vm, duration_s: float) -> None:
+        record = self._world.judge.record_fault({vm.name})
+        vm.fill_disk()
+        gevent.sleep(duration_s)
+        vm.make_room()
+        record.until = time.monotonic()
+
     # Links.
 
     def _disrupt_links(
@@ -351,3 +377,4 @@
     for name, call in vars(Faults).items()
     if callable(call) and not name.startswith("_") and name != "run"
 }
+_DISK_KINDS = frozenset({"full_disk", "full_disks_in_turn"})
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -11,6 +11,9 @@
 MAX_DRAIN_S = 3.0
 MAX_EVACUATION_S = 5.0
 MAX_APPLY_S = 3.0
+# A proper order is acknowledged within this time while a majority of the
+# control VMs is undisturbed.
+MAX_ORDER_S = 8.0
 MAX_VIOLATIONS = 40
 
 
@@ -57,6 +60,8 @@
 
     def record_fault(self, names: set[str]) -> FaultRecord:
         """Record the start of a fault; the caller sets its end."""
+        if any(fault.until == float("inf") for fault in self._faults):
+            self.counts["overlapping faults"] += 1
         fault = FaultRecord(frozenset(names))
         self._faults.append(fault)
         return fault
@@ -69,6 +74,19 @@
             for fault in self._faults
         )
 
+    def is_order_overdue(self, sent_at: float, now: float) -> bool:
+        """Return whether an order should have been acknowledged.
+
+        :param sent_at: when it was sent first
+        """
+        since = now - MAX_ORDER_S
+        disturbed = set()
+        for fault in self._faults:
+            if fault.until > since:
+                disturbed |= fault.names & self._control
+        has_majority = 2 * len(disturbed) < len(self._control)
+        return sent_at < since and has_majority
+
     def record_violation(
         self, now: float, invariant: str, detail: str
     ) -> None:
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -14,6 +14,7 @@
 
 ORDER_TIMEOUT_S = 20.0
 RETRY_INTERVAL_S = 0.2
+SERIES_INTERVAL_S = 0.4
 MAX_REDIRECTS = 2
 HOST = "198.18.0.1"
 SERVICES = ("desk", "store")
@@ -68,6 +69,12 @@
             self._extra_ports.append(9000 + self._version)
         return self._put_configuration(self._version)
 
+    def run_series(self) -> None:
+        """Send one configuration after another, for ever."""
+        while True:
+            self.change_configuration()
+            gevent.sleep(SERIES_INTERVAL_S)
+
     def send_invalid(self) -> None:
         """Send a configuration that every control VM must refuse."""
         self._version += 1
@@ -203,8 +210,20 @@
 
         :param timeout_s: limit for retries; 0 for one attempt
         """
-        until = time.monotonic() + timeout_s
+        sent_at = time.monotonic()
+        until = sent_at + timeout_s
+        is_overdue = False
         while True:
+            now = time.monotonic()
+            if not is_overdue and self._world.judge.is_order_overdue(
+                sent_at, now
+            ):
+                is_overdue = True
+                self._world.judge.record_violation(
+                    now,
+                    "order not acknowledged",
+                    f"{path}, sent {now - sent_at:.1f} s ago",
+                )
             answer = None
             for address in self._world.control_addresses():
                 answer = self._call_with_redirects(address, path, body, method)
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -3,11 +3,14 @@
 import contextlib
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import socket
 import subprocess
 import sys
+import threading
+from typing import IO
 
 import attrs
 
@@ -80,17 +83,35 @@
         """Start the process with the existing settings file."""
         env = dict(os.environ)
         env["EBONYTALLY_CONFIG"] = str(self.folder / "node.toml")
-        with (self.folder / "log").open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "ebonytally.platform"],
-                cwd=ROOT,
-                env=env,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "ebonytally.platform"],
+            cwd=ROOT,
+            env=env,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        # A pipe, as a full disk must not stop the log.
+        threading.Thread(
+            target=_copy_output,
+            args=(self.process.stdout, self.folder / "log"),
+            daemon=True,
+        ).start()
         self.end_expected = False
 
+    def fill_disk(self) -> None:
+        """Make each write to a file of the process fail."""
+        self._limit_file_size(0)
+
+    def make_room(self) -> None:
+        """End `fill_disk`."""
+        self._limit_file_size(resource.RLIM_INFINITY)
+
+    def _limit_file_size(self, size: int) -> None:
+        if self.is_running:
+            limits = (size, resource.RLIM_INFINITY)
+            resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, limits)
+
     def configure(self, seeds: list[str], first: bool) -> None:
         """Replace the settings file atomically."""
         binds = f'control = "{self.address}:{CONTROL_PORT}"'
@@ -160,6 +181,12 @@
                 file.write(tail)
 
 
+def _copy_output(source: IO[bytes], path: pathlib.Path) -> None:
+    """Append what a process writes to a file, until the process ends."""
+    with source, path.open("ab") as log:
+        shutil.copyfileobj(source, log)
+
+
 def reserve_network(stack: contextlib.ExitStack) -> int:
     """Reserve a loopback network; return the second byte of its addresses.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,6 +92,17 @@
     assert judge.violations != []
 
 
+def test_an_order_is_overdue_only_with_an_undisturbed_majority():
+    judge = judges.Judge(frozenset({"c1", "c2", "c3"}))
+    assert not judge.is_order_overdue(1.0, 1.0 + judges.MAX_ORDER_S)
+    assert judge.is_order_overdue(1.0, 1.1 + judges.MAX_ORDER_S)
+    judge.record_fault({"c1"}).until = 5.0
+    assert judge.is_order_overdue(1.0, 10.0)
+    judge.record_fault({"c2"}).until = 6.0
+    assert not judge.is_order_overdue(1.0, 10.0)
+    assert judge.is_order_overdue(1.0, 13.5)
+
+
 def test_a_short_run_breaks_no_promise():
     done = subprocess.run(
         [sys.executable, "-m", "soak", "--seed", str(SEED)],
