One announcement can no longer stop the feed of all entry VMs

Cause: the adapter accepted what can't be stored or sent: names that UTF-8 can't encode (lone surrogates in JSON), integers above 64 bits, names of any length, NaN. Once such an announcement was registered, no answer to a poll that contained it could be encoded. Answers above 1,200 bytes went by gRPC, which entry VMs don't serve: names of 42 control VMs and eight records are enough. Ruled out: the daemon's announcements and intents; their parsers check character sets and ranges. Bytes of UDP headers are counted by entry VMs too, with one constant for them.

--- a/benches/bench_capacity.py
+++ b/benches/bench_capacity.py
@@ -18,6 +18,7 @@
 from ebonytally.dissemination import failure_detector
 from ebonytally.dissemination import view_history
 from ebonytally.flows import flow_records
+from ebonytally import peer_datagrams
 from ebonytally import recorder
 from ebonytally import settings
 from ebonytally import view
@@ -35,7 +36,6 @@
 DATA_CENTRES_PER_REGION = 4
 REGIONS = 2
 IDLE_SPAN_S = 6.0
-DATAGRAM_OVERHEAD_BYTES = 28
 KEY = b"k" * 32
 # Settings for the target size: fewer heartbeats and longer leases.
 LIMITS = settings.Control(heartbeat_s=1.0, lease_s=5.0)
@@ -181,7 +181,7 @@
     def _count_bytes(self, actions_: list) -> list:
         for action in actions_:
             frame = wire.encode(KEY, "vm-000", action.msg)
-            self.bytes_sent += len(frame) + DATAGRAM_OVERHEAD_BYTES
+            self.bytes_sent += len(frame) + peer_datagrams.OVERHEAD_BYTES
         return actions_
 
     def handle(self, peer: str, msg: object, now: float) -> list:
--- a/benches/bench_control.py
+++ b/benches/bench_control.py
@@ -16,6 +16,7 @@
 from ebonytally.agreement import agreement_messages as messages
 from ebonytally.agreement import log_storage
 from ebonytally import disk_files
+from ebonytally import peer_datagrams
 from ebonytally import recorder
 from ebonytally import settings
 from ebonytally import wire
@@ -141,9 +142,7 @@
             total += cluster.bytes_received[name] - received[name]
             key = f"idle_{len(voters)}_voters_{role}_bytes_per_s"
             figures[key] = total / IDLE_S
-    figures["datagram_overhead_bytes"] = (
-        control_cluster.DATAGRAM_OVERHEAD_BYTES
-    )
+    figures["datagram_overhead_bytes"] = peer_datagrams.OVERHEAD_BYTES
     return figures
 
 
--- a/benches/control_cluster.py
+++ b/benches/control_cluster.py
@@ -6,6 +6,7 @@
 from ebonytally import actions
 from ebonytally.agreement import agreement
 from ebonytally import commands
+from ebonytally import peer_datagrams
 from ebonytally import recorder
 from ebonytally import settings
 from ebonytally import view
@@ -13,7 +14,6 @@
 
 ONE_WAY_DELAY_S = 0.0015
 TICK_S = 0.01
-DATAGRAM_OVERHEAD_BYTES = 28
 KEY = b"k" * 32
 COMMAND = commands.ServiceSet(
     view.Service(
@@ -165,7 +165,7 @@
                 self.decided_at[action.token] = self.now
                 continue
             frame = wire.encode(KEY, name, action.msg)
-            self.bytes_sent[name] += len(frame) + DATAGRAM_OVERHEAD_BYTES
+            self.bytes_sent[name] += len(frame) + peer_datagrams.OVERHEAD_BYTES
             self._sequence += 1
             item = (
                 self.now + ONE_WAY_DELAY_S,
@@ -190,7 +190,7 @@
         sender, msg = wire.decode(KEY, frame)
         if (sender, peer) in self.cut_links or peer not in self.nodes:
             return
-        self.bytes_received[peer] += len(frame) + DATAGRAM_OVERHEAD_BYTES
+        self.bytes_received[peer] += len(frame) + peer_datagrams.OVERHEAD_BYTES
         self.perform(peer, self.nodes[peer].handle(sender, msg, self.now))
 
     def run(self, seconds: float) -> None:
--- a/benches/virtual.py
+++ b/benches/virtual.py
@@ -14,6 +14,7 @@
 from benches import virtual_upstream
 from ebonytally import actions
 from ebonytally import config
+from ebonytally import peer_datagrams
 from ebonytally import ports
 from ebonytally import recorder
 from ebonytally.requests import request_dispatcher
@@ -30,7 +31,6 @@
 COMMIT_DELAY_S = 0.01
 MAX_DISSEMINATION_DELAY_S = 0.15
 ANNOUNCE_INTERVAL_S = 1.0
-DATAGRAM_OVERHEAD_BYTES = 28
 KEY = b"k" * 32
 _AttemptEnd = ports.AttemptEnd
 _ATTEMPT_KINDS = {
@@ -300,7 +300,7 @@
     def _send(self, vm: Vm, action: actions.Send) -> None:
         size = (
             len(wire.encode(KEY, vm.name, action.msg))
-            + DATAGRAM_OVERHEAD_BYTES
+            + peer_datagrams.OVERHEAD_BYTES
         )
         self.frames_sent[vm.name] = self.frames_sent.get(vm.name, 0) + 1
         self.bytes_sent[vm.name] = self.bytes_sent.get(vm.name, 0) + size
--- a/ebonytally/control_role.py
+++ b/ebonytally/control_role.py
@@ -24,6 +24,7 @@
         contextlib.ExitStack,
         orders.Orders,
         "ControlRole",
+        live_recorder.LiveRecorder,
     ],
     None,
 ]
@@ -88,7 +89,9 @@
         deferred.run_after(
             roles.HTTP_START_DELAY_S,
             "open port for orders",
-            lambda: open_orders(deployment, stack, self._orders, self),
+            lambda: open_orders(
+                deployment, stack, self._orders, self, recorder
+            ),
             stack,
             recorder,
         )
--- a/ebonytally/entry_role.py
+++ b/ebonytally/entry_role.py
@@ -33,7 +33,12 @@
     PacketPort,
 ]
 OpenReadiness = Callable[
-    [deployments.Endpoint, contextlib.ExitStack, Callable[[], bool]],
+    [
+        deployments.Endpoint,
+        contextlib.ExitStack,
+        Callable[[], bool],
+        live_recorder.LiveRecorder,
+    ],
     None,
 ]
 
@@ -81,7 +86,10 @@
             roles.HTTP_START_DELAY_S,
             "open readiness port",
             lambda: open_readiness(
-                deployment.readiness_endpoint, stack, self._node.is_ready
+                deployment.readiness_endpoint,
+                stack,
+                self._node.is_ready,
+                recorder,
             ),
             stack,
             recorder,
@@ -121,5 +129,8 @@
     def _perform(self, messages: list) -> None:
         for action in messages:
             frame = self._peers.encode(action.msg)
-            self._recorder.count("control_bytes_sent", len(frame))
+            self._recorder.count(
+                "control_bytes_sent",
+                len(frame) + peer_datagrams.OVERHEAD_BYTES,
+            )
             self._peers.send(action.peer, frame)
--- a/ebonytally/feed/server.py
+++ b/ebonytally/feed/server.py
@@ -7,11 +7,15 @@
 from ebonytally.configuration import model
 from ebonytally.feed import changes
 from ebonytally.feed import messages
+from ebonytally.registry import records
 from ebonytally.registry import registry as registries
+from ebonytally import wire
 
 # With its frame a datagram stays below the usual MTU of 1,500 bytes.
 PART_BYTES = 1000
-RECORDS_PER_UPDATE = 8
+UPDATE_BYTES = 1100
+# Bytes of an update besides its records and names.
+UPDATE_HEAD_BYTES = 100
 # Contents kept to build changes from. An entry VM with an older version is
 # sent the whole content.
 MAX_BASE_CONTENTS = 16
@@ -86,26 +90,51 @@
             self._follower_polled_at.pop(peer, None)
         since = msg.revision if msg.start == self._start else 0
         changed = self._registry.changed_since(since)
-        sent = changed[:RECORDS_PER_UPDATE]
-        more = len(changed) > len(sent)
-        revision = sent[-1].revision if more else self._registry.revision
         state = self._machine.state
+        out = state.out if state.out_revision != msg.out_revision else None
+        room_bytes = UPDATE_BYTES - UPDATE_HEAD_BYTES
+        room_bytes -= _packed_bytes((*control_vms, *(out or ())))
+        sent = self._first_records(changed, room_bytes, now)
+        more = len(changed) > len(sent)
+        revision = self._registry.revision
+        if more:
+            revision = changed[len(sent) - 1].revision
         update = messages.Update(
             msg.poll_number,
             self._start,
             since,
             revision,
             more,
-            tuple(self._registry.to_record(entry, now) for entry in sent),
+            sent,
             state.version,
             state.out_revision,
-            state.out if state.out_revision != msg.out_revision else None,
+            out,
             control_vms,
             in_touch,
             entry_vms,
         )
         return [actions.Send(peer, update)]
 
+    def _first_records(
+        self,
+        entries: list[registries.Entry],
+        room_bytes: int,
+        now: float,
+    ) -> tuple[records.Record, ...]:
+        """Return the records of the first entries, as many as fit.
+
+        The first one is returned even if it doesn't fit: without it the
+        entry VM would never get the ones after it.
+        """
+        sent: list[records.Record] = []
+        for entry in entries:
+            record = self._registry.to_record(entry, now)
+            room_bytes -= len(wire.pack(record))
+            if sent and room_bytes < 0:
+                break
+            sent.append(record)
+        return tuple(sent)
+
     def handle_part_wanted(
         self,
         peer: str,
@@ -145,3 +174,8 @@
             while len(self._contents) > MAX_BASE_CONTENTS:
                 self._contents.popitem(last=False)
         return content
+
+
+def _packed_bytes(names: tuple[str, ...]) -> int:
+    """Return the bytes that names take in a frame, up to 255 each."""
+    return sum(len(name.encode()) + 2 for name in names)
--- a/ebonytally/peer_datagrams.py
+++ b/ebonytally/peer_datagrams.py
@@ -13,6 +13,8 @@
 from ebonytally import wire
 
 MAX_RECEIVE_BYTES = 65536
+# IPv4 and UDP headers.
+OVERHEAD_BYTES = 28
 # Frames after which other greenlets get to run.
 FRAMES_PER_YIELD = 64
 # Keeps a socket that fails each time from taking all processor time.
--- a/ebonytally/peers.py
+++ b/ebonytally/peers.py
@@ -21,10 +21,11 @@
     from ebonytally import grpc_bridge
 
 MAX_SMALL_FRAME_BYTES = 1200
-# IPv4 and UDP headers; HTTP/2 frames and headers, TCP and IP of gRPC.
-DATAGRAM_OVERHEAD_BYTES = 28
+# HTTP/2 frames and headers, TCP and IP.
 GRPC_OVERHEAD_BYTES = 250
 _FLOW_KINDS = range(200, 300)
+# Entry VMs of the users' platform have no gRPC port.
+_FEED_KINDS = range(640, 650)
 _KEY_KINDS = range(300, 400)
 
 
@@ -90,7 +91,7 @@
         frame = self._datagrams.encode(msg)
         kind = wire.kind_of(msg)
         if self._is_datagram(kind, len(frame)):
-            size = len(frame) + DATAGRAM_OVERHEAD_BYTES
+            size = len(frame) + peer_datagrams.OVERHEAD_BYTES
             self._datagrams.send(address, frame)
         else:
             size = len(frame) + GRPC_OVERHEAD_BYTES
@@ -110,7 +111,7 @@
         self._client.send(f"{address}:{self._ports.control}", frame)
 
     def _is_datagram(self, kind: int, size: int) -> bool:
-        if kind in _FLOW_KINDS:
+        if kind in _FLOW_KINDS or kind in _FEED_KINDS:
             return size <= wire.MAX_DATAGRAM_BYTES
         return size <= MAX_SMALL_FRAME_BYTES
 
--- a/ebonytally/platform/calls.py
+++ b/ebonytally/platform/calls.py
@@ -12,7 +12,8 @@
 _READY = "ready"
 _DRAINING = "draining"
 _IDEMPOTENT = ("safe", "download")
-_MAX_NUMBER = 2**63
+# A record with its names must fit into one datagram.
+_MAX_NAME_CHARS = 128
 # Weight of the service that a route names without a weight.
 _SOLE_WEIGHT = 1
 
@@ -130,12 +131,13 @@
             f"{beat.cold_remaining_ms}, service of {len(beat.service)} chars"
         )
         raise decode.DecodeError(step, id_, detail)
-    if max(beat.born, beat.sequence) >= _MAX_NUMBER:
+    longest = max(len(name) for name in (id_, beat.service, beat.zone))
+    if longest > _MAX_NAME_CHARS:
         detail = (
-            f"born and sequence must be below {_MAX_NUMBER}; "
-            f"got {beat.born}, {beat.sequence}"
+            f"id, service and zone must have at most {_MAX_NAME_CHARS} "
+            f"chars, got one of {longest}"
         )
-        raise decode.DecodeError(step, id_, detail)
+        raise decode.DecodeError(step, id_[:_MAX_NAME_CHARS], detail)
     address, port = decode.endpoint(beat.address, step)
     return records.Announcement(
         id=id_,
@@ -169,8 +171,8 @@
     """
     step = "read configuration"
     parsed = decode.structure(_json(body, step), _Config, step)
-    if not 0 <= parsed.version < _MAX_NUMBER:
-        detail = f"must be 0 to {_MAX_NUMBER - 1}, got {parsed.version}"
+    if parsed.version < 0:
+        detail = f"must be at least 0, got {parsed.version}"
         raise decode.DecodeError(step, "version", detail)
     content = model.Content(
         tuple(_route(route, step) for route in parsed.routes),
@@ -211,6 +213,14 @@
 
 def _json(body: bytes, step: str) -> object:
     try:
-        return json.loads(body)
-    except ValueError as exc:
+        return json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as exc:
         raise decode.DecodeError(step, "", f"body is not JSON: {exc}") from exc
+
+
+def _refuse_constant(name: str) -> None:
+    """Refuse NaN and Infinity, which Python accepts but JSON lacks.
+
+    :raises ValueError: always
+    """
+    raise ValueError(f"{name} is not a JSON value")
--- a/ebonytally/platform/decode.py
+++ b/ebonytally/platform/decode.py
@@ -1,5 +1,6 @@
 """Strict decoding of the platform's JSON and TOML into attrs classes."""
 
+import math
 import typing
 
 import attrs
@@ -9,6 +10,9 @@
 from ebonytally import errors
 
 _T = typing.TypeVar("_T")
+# Integers are stored and sent in 64 bits.
+_INT_BOUND = 2**63
+_MAX_PORT_DIGITS = 5
 
 
 class DecodeError(errors.EbonytallyError):
@@ -16,11 +20,23 @@
 
 
 def _strict(value: object, cls: type) -> object:
-    """Return a value of exactly this type, without conversion from text."""
+    """Return a value of exactly this type, without conversion from text.
+
+    :raises TypeError: when it is of another type
+    :raises ValueError: when it can't be stored and sent to other VMs
+    """
     if cls is float and type(value) is int:
-        return float(value)
+        value = float(value)
     if type(value) is not cls:
         raise TypeError(f"expected type {cls.__name__}, got {value!r}")
+    if cls is int and not -_INT_BOUND <= value < _INT_BOUND:
+        bits = value.bit_length()
+        raise ValueError(f"expected a 64-bit integer, got {bits} bits")
+    if cls is float and not math.isfinite(value):
+        raise ValueError(f"expected a finite number, got {value}")
+    if cls is str:
+        # JSON may contain lone surrogates, which UTF-8 can't encode.
+        value.encode()
     return value
 
 
@@ -70,11 +86,24 @@
     :param step: what is decoded, for the error
     :raises DecodeError: when it isn't an IPv4 address and a port
     """
-    host, _, port = text.rpartition(":")
+    host, _, port_text = text.rpartition(":")
     parts = host.split(".")
-    numbers = [int(part) for part in parts if part.isdigit() and len(part) < 4]
-    if len(parts) != 4 or len(numbers) != 4 or max(numbers) > 255:
-        raise DecodeError(step, text, "expected IPv4 address:port")
-    if not port.isdigit() or not 0 < int(port) < 65536:
-        raise DecodeError(step, text, "expected IPv4 address:port")
-    return host, int(port)
+    octets = [number for part in parts if (number := _octet(part)) is not None]
+    is_port = _is_number(port_text) and len(port_text) <= _MAX_PORT_DIGITS
+    port = int(port_text) if is_port else 0
+    if len(parts) != 4 or len(octets) != 4 or not 0 < port < 65536:
+        raise DecodeError(step, text[:80], "expected IPv4 address:port")
+    return host, port
+
+
+def _octet(text: str) -> int | None:
+    """Return a decimal number of 0 to 255 without leading zeros."""
+    if not _is_number(text) or len(text) > 3:
+        return None
+    number = int(text)
+    return number if number < 256 and str(number) == text else None
+
+
+def _is_number(text: str) -> bool:
+    """Return whether a text contains ASCII digits only."""
+    return text.isascii() and text.isdigit()
--- a/ebonytally/platform/http_calls.py
+++ b/ebonytally/platform/http_calls.py
@@ -9,6 +9,7 @@
 from ebonytally.platform import calls
 from ebonytally.platform import decode
 from ebonytally.platform import http_server
+from ebonytally import recorder as recorders
 from ebonytally.registry import records
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -49,6 +50,7 @@
         stack: contextlib.ExitStack,
         order_handler: orders.Orders,
         upstreams: Upstreams,
+        recorder: recorders.Recorder,
     ) -> None:
         """Open the port for calls.
 
@@ -64,7 +66,9 @@
         # Asks the upstream to send its next heartbeats to this VM, which
         # knows its last sequence number.
         self._heartbeat_reply = json.dumps({"heartbeat-url": address}).encode()
-        http_server.serve(deployed.orders_endpoint, stack, self._handle)
+        http_server.serve(
+            deployed.orders_endpoint, stack, self._handle, recorder
+        )
 
     def _handle(self, environ: dict) -> http_server.Reply:
         body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
--- a/ebonytally/platform/http_server.py
+++ b/ebonytally/platform/http_server.py
@@ -8,6 +8,7 @@
 
 from ebonytally import deployment
 from ebonytally import http_bounds
+from ebonytally import recorder as recorders
 
 MAX_CONNECTIONS = 512
 
@@ -18,16 +19,22 @@
     endpoint: deployment.Endpoint,
     stack: contextlib.ExitStack,
     handle: Callable[[dict], Reply],
+    recorder: recorders.Recorder,
 ) -> None:
     """Open a port and answer the calls to it.
 
     :param stack: closes the port
-    :param handle: takes a WSGI environ, returns status, headers and body
+    :param handle: takes a WSGI environ, returns status, headers and body;
+        an unexpected exception is logged and answered with 500
     :raises OSError: when the port can't be opened
     """
 
     def application(environ: dict, start_response: Callable) -> list[bytes]:
-        status, headers, body = handle(environ)
+        try:
+            status, headers, body = handle(environ)
+        except Exception:
+            recorders.log_failure(recorder, "call", environ["REMOTE_ADDR"])
+            status, headers, body = "500 Internal Server Error", [], b""
         length = ("Content-Length", str(len(body)))
         start_response(status, [*headers, length])
         return [body]
--- a/ebonytally/platform/readiness.py
+++ b/ebonytally/platform/readiness.py
@@ -5,6 +5,7 @@
 
 from ebonytally import deployment
 from ebonytally.platform import http_server
+from ebonytally import recorder as recorders
 
 _PATH = "/v1/readiness"
 
@@ -13,6 +14,7 @@
     endpoint: deployment.Endpoint,
     stack: contextlib.ExitStack,
     is_ready: Callable[[], bool],
+    recorder: recorders.Recorder,
 ) -> None:
     """Answer readiness checks with 200 or 503.
 
@@ -26,4 +28,4 @@
         status = "200 OK" if is_ready() else "503 Service Unavailable"
         return status, [], b""
 
-    http_server.serve(endpoint, stack, handle)
+    http_server.serve(endpoint, stack, handle, recorder)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,10 +1,18 @@
 """Tests of entry VMs that follow lossy, cut off or restarted control VMs."""
 
+import contextlib
 import random
 
 import attrs
 
 from ebonytally.configuration import machine as machines
+from ebonytally.feed import messages
+from ebonytally import peers
+from ebonytally import recorder as recorders
+from ebonytally.registry import records
+from ebonytally import settings
+from ebonytally import wire
+from tests import agreement_fakes as fakes
 from tests import echo_harness
 
 
@@ -163,3 +171,68 @@
         for event, fields in entry.recorder.events[before:]
         if event.name == "CONTROL_VM_CHOSEN"
     ]
+
+
+def test_updates_of_many_control_vms_and_long_names_fit_into_datagrams():
+    """Entry VMs receive nothing but datagrams."""
+    control, entry = echo_harness.make_harness(upstreams=1)
+    control.names = ("c1", *(f"10.250.100.{n}" for n in range(100, 142)))
+    for number in range(2, 60):
+        control.registry.on_announcement(
+            echo_harness.announcement(
+                number, service="s" * 40, data_centre="d" * 40
+            ),
+            entry.now,
+        )
+    sizes = []
+    handle = control.handle
+
+    def measuring_handle(peer, msg, now):
+        replies = handle(peer, msg, now)
+        sizes.extend(
+            len(wire.encode(fakes.KEY, "10.250.100.100", reply.msg))
+            for reply in replies
+        )
+        return replies
+
+    control.handle = measuring_handle
+    entry.unreachable = set(control.names) - {"c1"}
+    entry.run(1.0)
+    assert len(entry.registry) == 59
+    assert max(sizes) <= peers.MAX_SMALL_FRAME_BYTES
+
+
+def test_answers_to_entry_vms_are_datagrams_whatever_their_size():
+    cfg = attrs.evolve(
+        fakes.make_settings("c1"),
+        ports=settings.Ports(peers=0),
+        cluster_key=fakes.KEY.hex(),
+    )
+    record = records.Record(
+        "i-1",
+        1,
+        1,
+        records.State.READY,
+        "s" * 3000,
+        "10.0.0.1",
+        80,
+        "d",
+        2,
+        "",
+    )
+    update = messages.Update(
+        1, 1, 0, 1, False, (record,), 1, 0, None, ("c1",), True, 1
+    )
+    sent = []
+    with contextlib.ExitStack() as stack:
+        transport = peers.PeerTransport(
+            cfg,
+            stack,
+            lambda peer, msg: None,
+            lambda peer: peer,
+            recorders.MemoryRecorder(),
+            large_after_s=60.0,
+        )
+        transport._datagrams.send = lambda address, frame: sent.append(address)
+        transport.send("10.0.0.9", update)
+    assert sent == ["10.0.0.9"]
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -7,6 +7,7 @@
 from ebonytally import deployment
 from ebonytally import http_bounds
 from ebonytally.platform import http_server
+from ebonytally import recorder as recorders
 
 ADDRESS = "127.0.0.1"
 
@@ -26,7 +27,10 @@
     endpoint = deployment.Endpoint(ADDRESS, free_port())
     with contextlib.ExitStack() as stack:
         http_server.serve(
-            endpoint, stack, lambda environ: ("200 OK", [], b"x")
+            endpoint,
+            stack,
+            lambda environ: ("200 OK", [], b"x"),
+            recorders.MemoryRecorder(),
         )
         conn = socket.create_connection(
             (endpoint.address, endpoint.port), timeout=2.0
@@ -46,7 +50,10 @@
     answered = 0
     with contextlib.ExitStack() as stack:
         http_server.serve(
-            endpoint, stack, lambda environ: ("200 OK", [], b"x")
+            endpoint,
+            stack,
+            lambda environ: ("200 OK", [], b"x"),
+            recorders.MemoryRecorder(),
         )
         for _ in range(12):
             conn = socket.create_connection(address, timeout=1.0)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -183,6 +183,18 @@
         {"sequence": 2**70},
         {"born": "yesterday"},
         {"cold-remaining-ms": -1},
+        {"cold-remaining-ms": float("nan")},
+        {"cold-remaining-ms": float("inf")},
+        {"cold-remaining-ms": 10**400},
+        {"concurrency": 2**64},
+        {"born": 2**70},
+        {"service": "\ud800"},
+        {"service": "s" * 129},
+        {"zone": "buc-\udfff"},
+        {"zone": "z" * 129},
+        {"address": "10.128.0.\u00b2:8080"},
+        {"address": "010.128.0.9:8080"},
+        {"address": "10.128.0.9:" + "8" * 5000},
     ],
 )
 def test_heartbeat_with_an_invalid_field_is_refused(change):
@@ -198,7 +210,9 @@
         calls.decode_heartbeat("i-7f3a91c2", json.dumps(body).encode())
 
 
-@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff\xfe", b"3"])
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b"\xff\xfe", b"3", b"[" * 100_000]
+)
 def test_body_that_is_not_a_json_object_is_refused(body):
     with pytest.raises(decode.DecodeError):
         calls.decode_heartbeat("i-7f3a91c2", body)
@@ -208,7 +222,7 @@
 
 def test_heartbeat_under_an_id_without_a_number_is_refused():
     body = json.dumps(HEARTBEAT).encode()
-    for id_ in ("", "xyz", "0123456789abcdef0"):
+    for id_ in ("", "xyz", "0123456789abcdef0", "1" + "-" * 200):
         with pytest.raises(decode.DecodeError):
             calls.decode_heartbeat(id_, body)
 
@@ -247,9 +261,39 @@
     config["routes"][0]["host"] = "example"
 
 
+def _set_infinite_timeout(config):
+    config["routes"][0]["timeout-ms"] = float("inf")
+
+
+def _set_timeout_to_no_number(config):
+    config["routes"][0]["timeout-ms"] = float("nan")
+
+
+def _set_huge_weight(config):
+    config["routes"][1]["backends"][0]["weight"] = 2**70
+
+
+def _set_huge_version(config):
+    config["version"] = 2**63
+
+
+def _set_name_that_has_no_encoding(config):
+    config["services"][1]["name"] = "\ud800"
+
+
+def _set_host_with_leading_zero(config):
+    config["routes"][0]["host"] = "198.018.0.1"
+
+
 @pytest.mark.parametrize(
     "corrupt",
     [
+        _set_infinite_timeout,
+        _set_timeout_to_no_number,
+        _set_huge_weight,
+        _set_huge_version,
+        _set_name_that_has_no_encoding,
+        _set_host_with_leading_zero,
         _remove_weight,
         _set_text_version,
         _remove_routes,
--- a/tests/test_unexpected_input.py
+++ b/tests/test_unexpected_input.py
@@ -1,6 +1,7 @@
 """Malformed messages and failing handlers end no task of a process."""
 
 import contextlib
+import json
 import os
 
 import attrs
@@ -13,6 +14,10 @@
 from ebonytally import deployment
 from ebonytally import events
 from ebonytally import peer_datagrams
+from ebonytally import peers
+from ebonytally.platform import calls
+from ebonytally.platform import decode as decode_lib
+from ebonytally.platform import http_server
 from ebonytally.platform import packet_port
 from ebonytally.platform import packet_wire
 from ebonytally import recorder as recorders
@@ -20,6 +25,9 @@
 from ebonytally import settings
 from ebonytally import wire
 from tests import agreement_fakes as fakes
+from tests import echo_harness
+from tests import test_http_bounds
+from tests import test_platform_wire
 
 SEEDS = int(os.environ.get("EBONYTALLY_SEEDS", "0"))
 KINDS = sorted(wire._CLASS_BY_KIND)
@@ -143,3 +151,70 @@
         gevent.sleep(0.2)
     assert len(handler.calls) == 1
     assert failed_steps(recorder) == ["packet"]
+
+
+def test_a_call_that_fails_is_logged_and_answered():
+    recorder = recorders.MemoryRecorder()
+    handler = FailingHandler()
+    endpoint = deployment.Endpoint("127.0.0.1", test_http_bounds.free_port())
+    with contextlib.ExitStack() as stack:
+        http_server.serve(endpoint, stack, handler.handle, recorder)
+        conn = socket.create_connection(
+            (endpoint.address, endpoint.port), timeout=2.0
+        )
+        stack.callback(conn.close)
+        conn.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert conn.recv(4096).startswith(b"HTTP/1.1 500 ")
+    assert failed_steps(recorder) == ["call"]
+
+
+ODD_VALUE = st.one_of(
+    VALUE.filter(lambda value: not isinstance(value, bytes)),
+    st.sampled_from(
+        ["\ud800", "x\udfff", "s" * 5000, 2**64, -(2**70), 10**400]
+    ),
+    st.sampled_from(
+        ["10.0.0.\u00b2:80", "010.0.0.1:80", "1.1.1.1:" + "9" * 5000]
+    ),
+)
+
+
+@hypothesis.settings(
+    max_examples=300 + SEEDS * 1000,
+    deadline=None,
+    derandomize=not SEEDS,
+    database=None,
+)
+@hypothesis.given(
+    st.dictionaries(
+        st.sampled_from(sorted(test_platform_wire.HEARTBEAT)),
+        ODD_VALUE,
+        max_size=3,
+    )
+)
+def test_any_accepted_heartbeat_leaves_the_feed_working(change):
+    """An upstream's announcement must not keep others from entry VMs."""
+    try:
+        body = json.dumps({**test_platform_wire.HEARTBEAT, **change}).encode()
+    except TypeError:
+        hypothesis.reject()
+    control, entry = echo_harness.make_harness(upstreams=1)
+    try:
+        announcement = calls.decode_heartbeat("i-7f3a91c2", body)
+    except decode_lib.DecodeError:
+        return
+    control.registry.on_announcement(announcement, entry.now)
+    later = echo_harness.announcement(5)
+    control.registry.on_announcement(later, entry.now)
+    handle = control.handle
+
+    def handle_and_encode(peer, msg, now):
+        replies = handle(peer, msg, now)
+        for reply in replies:
+            frame = wire.encode(fakes.KEY, "c1", reply.msg)
+            assert len(frame) <= peers.MAX_SMALL_FRAME_BYTES
+        return replies
+
+    control.handle = handle_and_encode
+    entry.run(0.6)
+    assert entry.registry.get(later.id) is not None
