A cut between control VMs makes no upstream silent that one of them hears

Cause: each half of control VMs that are cut from each other marks the other half's upstreams silent, 2 s after the other was last heard and three announcement intervals later. The mark outranks the record of the hearing control VM, whose sequence isn't published while nothing changes. An entry VM that polls both halves merged both, and refused each new flow (no_upstream) until the cut ended. Ruled out: overload of upstreams (the 503s follow from the few upstreams left). Change: an entry VM keeps a silence back while the control VM that is the source of its record answers it and hasn't reported the silence itself.

--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -8,6 +8,7 @@
 from ebonytally.feed import changes
 from ebonytally.feed import messages
 from ebonytally import recorder as recorders
+from ebonytally.registry import records
 from ebonytally.registry import registry as registries
 
 # A drained upstream, a change or an evacuation must be known here within
@@ -22,6 +23,9 @@
 # Without a newer answer the view may be outdated: nothing is refused for an
 # entry that it lacks.
 MAX_VIEW_AGE_S = 1.2
+# A control VM that hasn't answered for a whole round of polls and this time
+# is not heard.
+SILENCE_MARGIN_S = 1.0
 RTT_SMOOTHING = 0.3
 # Another control VM's RTT must be lower by this much to become the primary.
 SWITCH_RTT_MARGIN_S = 0.0008
@@ -114,6 +118,9 @@
         self._polls_sent = 0
         self._fetch: _Fetch | None = None
         self._newest_version = 0
+        # Silences that the control VM which hears the upstream hasn't
+        # confirmed, by upstream id.
+        self._unconfirmed: dict[str, records.Record] = {}
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds by those of changed settings."""
@@ -149,6 +156,7 @@
 
     def tick(self, now: float) -> list[actions.Action]:
         """Choose the primary if needed; return the polls that are due."""
+        self._merge_unconfirmed(now)
         out: list[actions.Action] = []
         if not self._primary or self._must_replace(self._primary, now):
             self._choose_primary(now)
@@ -214,7 +222,7 @@
         self._record_answer(peer, control_vm, msg, now)
         self._newest_version = max(self._newest_version, msg.version)
         for record in msg.records:
-            self._registry.merge(record, now)
+            self._merge(record, now)
         self._apply_evacuations(peer, msg)
         if peer == self._primary or not self.is_complete():
             self._set_control_vms(msg.control_vms)
@@ -225,6 +233,38 @@
             out += self._request_change(peer, msg.version, now)
         return out
 
+    def _merge(self, record: records.Record, now: float) -> None:
+        """Merge a record, or keep it back if it is an unconfirmed silence."""
+        if self._is_unconfirmed(record, now):
+            self._unconfirmed[record.id] = record
+            return
+        self._unconfirmed.pop(record.id, None)
+        self._registry.merge(record, now)
+
+    def _merge_unconfirmed(self, now: float) -> None:
+        """Merge silences whose upstreams nobody that is heard may hear."""
+        for record in list(self._unconfirmed.values()):
+            self._merge(record, now)
+
+    def _is_unconfirmed(self, record: records.Record, now: float) -> bool:
+        """Return whether an upstream may be silent to one control VM only.
+
+        A control VM that is cut off from the others takes the upstreams
+        that announce themselves to them for silent. The control VM that
+        hears an upstream decides, as long as it answers here.
+        """
+        entry = self._registry.get(record.id)
+        if record.state != records.State.SILENT or entry is None:
+            return False
+        known = entry.record
+        if record.rank <= known.rank or known.source == record.source:
+            return False
+        source = self._control_vms.get(known.source)
+        if source is None or source.is_overdue(now):
+            return False
+        round_s = OTHER_POLL_INTERVAL_S * len(self._control_vms)
+        return now - source.answered_at <= round_s + SILENCE_MARGIN_S
+
     def _record_answer(
         self,
         peer: str,
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -236,3 +236,90 @@
         transport._datagrams.send = lambda address, frame: sent.append(address)
         transport.send("10.0.0.9", update)
     assert sent == ["10.0.0.9"]
+
+
+def make_halves(upstreams):
+    """Return two control VMs and an entry VM that reaches both.
+
+    Each control VM hears one half of the upstreams and was told of the
+    others.
+    """
+    halves = [echo_harness.ControlVm("c1"), echo_harness.ControlVm("c2")]
+    for control in halves:
+        control.names = ("c1", "c2")
+        control.apply_configuration(2)
+    for number in range(1, upstreams + 1):
+        hearing, other = halves if number % 2 else reversed(halves)
+        entry = hearing.registry.on_announcement(
+            echo_harness.announcement(number), 0.0
+        )
+        other.registry.merge(entry.record, 0.0)
+    entry = echo_harness.EntryVm("e1", halves)
+    entry.run(1.0)
+    return halves, entry
+
+
+def announce_again(control, numbers, sequence, now):
+    """Let upstreams announce themselves to a control VM again."""
+    for number in numbers:
+        announcement = echo_harness.announcement(number, sequence=sequence)
+        control.registry.on_announcement(announcement, now)
+
+
+def states(entry, numbers):
+    """Return the states of upstreams at an entry VM."""
+    return {
+        entry.registry.get(f"i-{number:08x}").record.state
+        for number in numbers
+    }
+
+
+def test_halves_that_lost_each_other_make_no_upstream_silent():
+    """Each half takes the upstreams of the other one for silent.
+
+    On the users' bench a cut of 5.7 s left no upstream for new flows
+    (kvaede-net, core-under-change, --vary --seed 987040891624).
+    """
+    halves, entry = make_halves(upstreams=6)
+    for step in range(2, 12):
+        for control, first in zip(halves, (1, 2), strict=True):
+            announce_again(control, range(first, 7, 2), step, entry.now)
+            control.registry.mark_silent_upstreams(frozenset(), entry.now)
+        entry.run(0.7)
+        entry.open(step)
+        assert states(entry, range(1, 7)) == {records.State.READY}
+    silent = [
+        record
+        for control in halves
+        for record in control.registry.entries()
+        if record.record.state == records.State.SILENT
+    ]
+    assert len(silent) == 6
+
+
+def test_an_upstream_whose_control_vm_is_lost_too_becomes_silent():
+    halves, entry = make_halves(upstreams=6)
+    entry.unreachable = {"c1"}
+    for step in range(2, 9):
+        announce_again(halves[1], range(2, 7, 2), step, entry.now)
+        halves[1].registry.mark_silent_upstreams(frozenset(), entry.now)
+        entry.run(0.7)
+    assert states(entry, range(1, 7, 2)) == {records.State.SILENT}
+    assert states(entry, range(2, 7, 2)) == {records.State.READY}
+
+
+def test_a_silence_is_believed_once_the_hearing_control_vm_is_lost():
+    halves, entry = make_halves(upstreams=2)
+    halves[1].registry.mark_silent_upstreams(frozenset(), 10.0)
+    entry.run(2.0)
+    assert states(entry, [1]) == {records.State.READY}
+    entry.unreachable = {"c1"}
+    entry.run(3.0)
+    assert states(entry, [1]) == {records.State.SILENT}
+
+
+def test_the_control_vm_that_hears_an_upstream_decides_on_its_silence():
+    halves, entry = make_halves(upstreams=2)
+    halves[0].registry.mark_silent_upstreams(frozenset(("c2",)), 10.0)
+    entry.run(2.0)
+    assert states(entry, [1]) == {records.State.SILENT}
