Timers of a quiet VM no longer pass over all upstreams

Cause: each tick (20 times a second on a control VM, 50 on an entry VM) looked at every upstream, for silences and for records to remove; a control VM also sorted the names of all entry VMs at each tick and counted its followers at each poll. The cost grew with the fleet. Change: the registry remembers the earliest time of a silence and which upstreams have ended; names and followers are gathered once a second and once a tick.

--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -92,6 +92,8 @@
         self._start_notifier = start_notifier.StartNotifier(
             entry_vms, start, now
         )
+        # Counted at each tick: there are more polls than ticks.
+        self._followers = 0
         self._token_count = 0
         self._start = start
         self._stopping = False
@@ -180,9 +182,7 @@
                 msg,
                 self._control_vms(now),
                 self.agreement.has_leader_contact(now, LEADER_TIMEOUT_S),
-                self.exchange.count_entry_vms(
-                    self._source.count_followers(now), now
-                ),
+                self.exchange.count_entry_vms(self._followers, now),
                 now,
             )
         if isinstance(msg, feed_messages.PartWanted):
@@ -191,9 +191,13 @@
 
     def tick(self, now: float, wall: float) -> list[actions.Action]:
         """Run the timers, save the registry if due, and update the voters."""
-        entry_vms = self._source.entry_vms(now)
+        self._followers = self._source.count_followers(now)
+
+        def entry_vms() -> tuple[str, ...]:
+            return self._source.entry_vms(now)
+
         if self._saved_registry.is_due(entry_vms, now):
-            self._run_call(self._save_registry, entry_vms, now, wall)
+            self._run_call(self._save_registry, entry_vms(), now, wall)
         if self.agreement.is_leader:
             self.agreement.set_wanted_voters(self._wanted_voters(now))
         actions_ = self._run_call(self.agreement.tick, now)
@@ -202,7 +206,7 @@
         voters = tuple(voter.name for voter in self.agreement.voters)
         actions_ += self.exchange.tick(
             voters,
-            self._source.count_followers(now),
+            self._followers,
             self.agreement.leader,
             now,
         )
--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -10,6 +10,9 @@
 from ebonytally.registry import records
 
 
+ENDED_STATES = (records.State.SILENT, records.State.GONE)
+
+
 @attrs.frozen
 class Limits:
     """Time limits of the registry.
@@ -62,6 +65,12 @@
             collections.OrderedDict()
         )
         self._ids_by_address: dict[tuple[str, int], str] = {}
+        # Ids of the upstreams that are silent or gone, in order of change.
+        self._ended: dict[str, None] = {}
+        # Earliest time at which an upstream may become silent, as long as
+        # the same control VMs are heard.
+        self._silence_due = 0.0
+        self._heard: frozenset[str] = frozenset()
         self._digest: int | None = None
         self.revision = 0
 
@@ -174,27 +183,29 @@
             a lost one should announce themselves to this VM instead
         :return: the changed entries, which must be published
         """
+        if now < self._silence_due and heard == self._heard:
+            return []
+        self._heard = heard
+        silence_due = now + self._limits.silent_s
         changed = []
         for entry in list(self._entries.values()):
             record = entry.record
-            if record.state in (records.State.SILENT, records.State.GONE):
+            if record.state in ENDED_STATES:
                 continue
-            is_responsible = (
-                record.source == self._local_vm or record.source not in heard
-            )
-            if (
-                is_responsible
-                and now - entry.heard_at >= self._limits.silent_s
-            ):
+            if record.source != self._local_vm and record.source in heard:
+                continue
+            silent_at = entry.heard_at + self._limits.silent_s
+            if silent_at <= now:
                 changed.append(self._mark_silent(entry, now))
+            else:
+                silence_due = min(silence_due, silent_at)
+        self._silence_due = silence_due
         return changed
 
     def expire(self, now: float) -> None:
         """Remove upstreams silent or gone for longer than `keep_s`."""
-        for entry in list(self._entries.values()):
-            state = entry.record.state
-            if state not in (records.State.SILENT, records.State.GONE):
-                continue
+        for id_ in list(self._ended):
+            entry = self._entries[id_]
             if now - entry.heard_at >= self._limits.keep_s:
                 self._remove(entry)
 
@@ -252,6 +263,10 @@
         )
         self._entries[record.id] = entry
         self._entries.move_to_end(record.id)
+        if record.state in ENDED_STATES:
+            self._ended[record.id] = None
+        else:
+            self._ended.pop(record.id, None)
         self._claim_address(record, now)
         return entry
 
@@ -276,6 +291,7 @@
     def _remove(self, entry: Entry) -> None:
         record = entry.record
         del self._entries[record.id]
+        self._ended.pop(record.id, None)
         self._digest = None
         address = (record.address, record.port)
         if self._ids_by_address.get(address) == record.id:
--- a/ebonytally/registry/registry_store.py
+++ b/ebonytally/registry/registry_store.py
@@ -6,6 +6,8 @@
 what is missing or outdated is announced again.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from ebonytally import errors
@@ -52,6 +54,7 @@
         self._revision = registry.revision
         self._entry_vms: tuple[str, ...] = ()
         self._saved_at = 0.0
+        self._compared_at = 0.0
 
     def load(self, now: float, wall: float) -> tuple[str, ...]:
         """Load the saved records into the registry.
@@ -76,13 +79,22 @@
         self._entry_vms = saved.entry_vms
         return saved.entry_vms
 
-    def is_due(self, entry_vms: tuple[str, ...], now: float) -> bool:
-        """Return whether something has changed and a save is due."""
+    def is_due(
+        self, entry_vms: Callable[[], tuple[str, ...]], now: float
+    ) -> bool:
+        """Return whether something has changed and a save is due.
+
+        :param entry_vms: returns the names of the entry VMs that polled
+            recently; called once for each interval at most
+        """
         if now - self._saved_at < SAVE_INTERVAL_S:
             return False
-        if self._entry_vms != entry_vms:
+        if self._revision != self._registry.revision:
             return True
-        return self._revision != self._registry.revision
+        if now - self._compared_at < SAVE_INTERVAL_S:
+            return False
+        self._compared_at = now
+        return self._entry_vms != entry_vms()
 
     def save(
         self,
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,5 +1,6 @@
 """Tests of the registry of upstreams and its gossip: the newest wins."""
 
+import collections
 import random
 
 import attrs
@@ -289,3 +290,59 @@
     deadline=None,
     derandomize=True,
 )
+
+
+class CountingEntries(collections.OrderedDict):
+    """Entries that count how many of them are examined."""
+
+    examined = 0
+
+    def values(self):
+        """Return the entries and count all of them as examined."""
+        CountingEntries.examined += len(self)
+        return super().values()
+
+
+def test_timers_examine_few_upstreams_while_nothing_changes():
+    registry = make_registry()
+    for n in range(2900):
+        announce(
+            registry, 0.0, id=f"i-{n}", address=f"10.0.{n >> 8}.{n % 256}"
+        )
+    registry._entries = CountingEntries(registry._entries)
+    CountingEntries.examined = 0
+    now = 0.0
+    for tick in range(1, 400):
+        now = tick * 0.05
+        if tick % 20 == 0:
+            for n in range(2900):
+                announce(
+                    registry,
+                    now,
+                    id=f"i-{n}",
+                    address=f"10.0.{n >> 8}.{n % 256}",
+                    sequence=1 + tick,
+                )
+        assert registry.mark_silent_upstreams(frozenset(), now) == []
+        registry.expire(now)
+    # Once for each silence timeout less an announcement's interval.
+    assert CountingEntries.examined <= 2900 * 12
+
+
+def test_silences_are_noticed_at_the_first_tick_after_the_timeout():
+    registry = make_registry()
+    for n, heard_at in enumerate((0.0, 0.4, 1.9)):
+        announce(registry, heard_at, id=f"i-{n}", address=f"10.0.0.{n}")
+    other = make_registry("c2")
+    foreign = announce(other, 0.0, id="i-9", address="10.0.0.9")
+    registry.merge(foreign.record, 0.5)
+    silent_at = {}
+    heard = frozenset({"c2"})
+    for tick in range(1, 200):
+        now = tick * 0.05
+        if tick == 60:
+            heard = frozenset()
+            registry.on_source_lost("c2", now)
+        for entry in registry.mark_silent_upstreams(heard, now):
+            silent_at[entry.record.id] = round(now, 2)
+    assert silent_at == {"i-0": 3.0, "i-1": 3.4, "i-2": 4.9, "i-9": 6.0}
