Placing a flow costs the same in fleets of any size

Cause: the choice for each opening packet passed over all upstreams of the service, three times, and built lists of them. Change: upstreams are grouped by service and data centre once for each change of the registry; a flow examines at most 24 of its own data centre and 24 of the others, and all of them only if those are backed off or tried.

--- a/benches/bench_placing.py
+++ b/benches/bench_placing.py
@@ -4,7 +4,8 @@
 centres. The traffic is long flows with pauses and one flow per request,
 below and near full load, also with an upstream that is unreachable for a
 while. The product decides on packets, as in a daemon; the baselines get
-the same traffic.
+the same traffic. The processor time of an opening packet is measured for
+fleets of several sizes.
 """
 
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 
 import attrs
 
+from benches import placing_cost
 from ebonytally.echo import cookies
 from tests import echo_harness
 
@@ -366,6 +368,11 @@
                 figures[key][name] = summary(simulation.run(), simulation)
                 if not json_only:
                     print(f"{key:16} {name:12} {figures[key][name]}")
+    for upstreams in placing_cost.UPSTREAMS:
+        key = f"upstreams_{upstreams}"
+        figures[key] = placing_cost.measure(upstreams)
+        if not json_only:
+            print(f"{key:16} {figures[key]}")
     return figures
 
 
--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from ebonytally.configuration import model
 from ebonytally.echo import upstream_load as loads
 from ebonytally.feed import follower as followers
@@ -16,6 +18,30 @@
 REMOTE_PENALTY = 0.8
 # Share of a cold upstream's rate that all entry VMs together use.
 COLD_SHARE = 0.6
+# Upstreams examined for a flow, in the own data centre and elsewhere each.
+# The least loaded of so many is nearly as idle as the least loaded of all.
+MAX_EXAMINED = 24
+
+
+@attrs.define
+class _Candidates:
+    """Upstreams of one service that may get new flows.
+
+    Both lists are shuffled, so that a slice is a random sample.
+
+    :param home: those in the entry VM's data centre
+    """
+
+    home: list[registries.Entry] = attrs.field(factory=list)
+    remote: list[registries.Entry] = attrs.field(factory=list)
+
+    def all(self) -> list[registries.Entry]:
+        """Return all of them."""
+        return self.home + self.remote
+
+    def sample(self, rng: random.Random) -> list[registries.Entry]:
+        """Return at most `MAX_EXAMINED` of each list."""
+        return _sample(self.home, rng) + _sample(self.remote, rng)
 
 
 class Placing:
@@ -41,8 +67,8 @@
         self._data_centre = data_centre
         self._rng = random.Random(seed)
         self._loads: dict[str, loads.UpstreamLoad] = {}
-        self._ready: dict[str, list[registries.Entry]] = {}
-        self._ready_revision = -1
+        self._candidates: dict[str, _Candidates] = {}
+        self._candidates_of: tuple[int, frozenset[str]] = (-1, frozenset())
 
     def load(self, id_: str) -> loads.UpstreamLoad:
         """Return an upstream's load, which the caller may change."""
@@ -66,7 +92,7 @@
         eligible = [
             target
             for target in route.targets
-            if target.weight and self._eligible(target.service)
+            if target.weight and self._find_candidates(target.service)
         ]
         if not eligible:
             return route.targets[0].service
@@ -85,45 +111,72 @@
 
         :param tried: ids of upstreams that didn't answer this caller
         """
-        eligible = [
+        candidates = self._find_candidates(service)
+        if candidates is None:
+            return None
+        entries = candidates.sample(self._rng)
+        best = self._choose_among(service, entries, tried, now)
+        all_entries = candidates.all() if best is None else entries
+        if len(all_entries) > len(entries):
+            entries = all_entries
+            best = self._choose_among(service, entries, tried, now)
+        if best is None:
+            best = self._least_loaded(
+                [
+                    entry
+                    for entry in entries
+                    if entry.cold_until <= now and entry.record.id not in tried
+                ]
+            )
+        return best.record if best is not None else None
+
+    def _choose_among(
+        self,
+        service: str,
+        entries: list[registries.Entry],
+        tried: tuple[str, ...],
+        now: float,
+    ) -> registries.Entry | None:
+        """Return an upstream that isn't backed off, None if there is none."""
+        usable = [
             entry
-            for entry in self._eligible(service)
+            for entry in entries
             if entry.record.id not in tried
+            and self.load(entry.record.id).backed_off_until <= now
         ]
-        not_backed_off = [
-            entry
-            for entry in eligible
-            if self.load(entry.record.id).backed_off_until <= now
-        ]
-        warm = [entry for entry in not_backed_off if entry.cold_until <= now]
+        warm = [entry for entry in usable if entry.cold_until <= now]
         best = self._least_loaded(warm)
-        if best is None or self._rng.random() * len(not_backed_off) > len(
-            warm
-        ):
-            best = self._cold_due(service, not_backed_off, now) or best
-        if best is None:
-            warm_backed_off = [
-                entry for entry in eligible if entry.cold_until <= now
-            ]
-            best = self._least_loaded(warm_backed_off)
-        return best.record if best is not None else None
+        if best is None or self._rng.random() * len(usable) > len(warm):
+            best = self._cold_due(service, usable, now) or best
+        return best
 
-    def _eligible(self, service: str) -> list[registries.Entry]:
-        """Return a service's upstreams that may get new flows."""
-        if self._ready_revision != self._registry.revision:
-            self._ready_revision = self._registry.revision
-            self._ready = {}
-            for entry in self._registry.entries():
-                if entry.record.state == records.State.READY:
-                    ready = self._ready.setdefault(entry.record.service, [])
-                    ready.append(entry)
+    def _find_candidates(self, service: str) -> _Candidates | None:
+        """Return a service's upstreams that may get new flows, if any."""
         out = self._follower.view.out
-        entries = self._ready.get(service, [])
-        if not out:
-            return entries
-        return [
-            entry for entry in entries if entry.record.data_centre not in out
-        ]
+        if self._candidates_of != (self._registry.revision, out):
+            self._candidates_of = (self._registry.revision, out)
+            self._candidates = self._group_entries(out)
+        return self._candidates.get(service)
+
+    def _group_entries(self, out: frozenset[str]) -> dict[str, _Candidates]:
+        by_service: dict[str, _Candidates] = {}
+        for entry in self._registry.entries():
+            record = entry.record
+            if record.state != records.State.READY:
+                continue
+            if record.data_centre in out:
+                continue
+            candidates = by_service.get(record.service)
+            if candidates is None:
+                candidates = by_service[record.service] = _Candidates()
+            if record.data_centre == self._data_centre:
+                candidates.home.append(entry)
+            else:
+                candidates.remote.append(entry)
+        for candidates in by_service.values():
+            self._rng.shuffle(candidates.home)
+            self._rng.shuffle(candidates.remote)
+        return by_service
 
     def _least_loaded(
         self, entries: list[registries.Entry]
@@ -178,3 +231,14 @@
             if config.name == service:
                 return config.cold_rate + self._cold_slack
         return self._cold_slack
+
+
+def _sample(
+    entries: list[registries.Entry], rng: random.Random
+) -> list[registries.Entry]:
+    """Return some successive entries of a shuffled list."""
+    if len(entries) <= MAX_EXAMINED:
+        return entries
+    start = rng.randrange(len(entries))
+    end = start + MAX_EXAMINED
+    return entries[start:end] + entries[: max(0, end - len(entries))]
--- a/tests/echo_harness.py
+++ b/tests/echo_harness.py
@@ -32,6 +32,7 @@
 )
 CONTENT = model.Content((ROUTE,), SERVICES, 15.0)
 SERVICE_ADDRESS = forwarder.service_address_of(ROUTE)
+DATA_CENTRES = ("north", "south", "east", "west")
 
 
 def announcement(number, **change):
@@ -169,3 +170,22 @@
     entry.run(1.0)
     assert entry.follower.is_complete()
     return control, entry
+
+
+def make_fleet_harness(upstreams):
+    """Return a control VM, and an entry VM in the first data centre.
+
+    Both know so many upstreams, which are spread over `DATA_CENTRES`.
+    """
+    control = ControlVm("c1")
+    control.apply_configuration(2)
+    for number in range(1, upstreams + 1):
+        fields = {
+            "address": f"10.0.{number // 256}.{number % 256}",
+            "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
+        }
+        control.registry.on_announcement(announcement(number, **fields), 0.0)
+    entry = EntryVm("e1", [control], home=DATA_CENTRES[0])
+    entry.run(1.0)
+    assert len(entry.registry) == upstreams
+    return control, entry
