A planned stop waits until all flow records are handed over

Ruled out: that a later ask finds another VM with these records: only the two owners of a group have them. Change: the groups that the latest report left out are kept for each peer. The daemon alone is concerned, not the users' platform.

--- a/ebonytally/flows/flow_handover.py
+++ b/ebonytally/flows/flow_handover.py
@@ -62,7 +62,8 @@
         self._complete_in_epoch: dict[tuple[str, int], int] = {}
         self._latest_epoch: dict[int, int] = {}
         self._current_flows: set[int] = set()
-        self._reported: dict[str, set[int]] = {}
+        # Groups asked for that the latest report to a peer left out.
+        self._left_out: dict[str, set[int]] = {}
         self._next_ask_at = 0.0
         self._started = False
 
@@ -143,7 +144,7 @@
             for vm in self._env.state.vms
             if vm.state is not view.VmState.DOWN and vm.name != local_vm
         }
-        self._reported = {}
+        self._left_out = {}
         self._next_ask_at = 0.0
         self._started = True
 
@@ -200,7 +201,7 @@
                 for service in group_records.services
             )
             known.append(group_records)
-        self._reported.setdefault(peer, set()).update(covered)
+        self._left_out[peer] = wanted.difference(covered)
         report = flow_messages.KeeperReport(
             msg.epoch,
             flow_owners.to_bitmap(covered),
@@ -231,10 +232,7 @@
         return []
 
     def is_handed_over(self) -> bool:
-        """Return whether all owners have got a report of this VM's records.
-
-        Groups that a report leaves out (RECORDS_PER_REPORT) aren't checked.
-        """
+        """Return whether all owners were sent all records they asked for."""
         owners = self._env.owners
         for group in _GROUPS:
             if self._last_owned[group] == NEVER_OWNED:
@@ -242,7 +240,7 @@
             for name in (owners.first[group], owners.second[group]):
                 if name in ("", self._env.local_vm):
                     continue
-                if name not in self._reported:
+                if name not in self._left_out or self._left_out[name]:
                     return False
         return True
 
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -1,7 +1,9 @@
 """Flows during planned changes, and after the loss of entry VMs."""
 
+from ebonytally.flows import flow_handover
 from ebonytally.flows import flow_messages
 from ebonytally.flows import flow_output
+from ebonytally.flows import flow_owners
 from ebonytally.flows import flow_packet
 from ebonytally.flows import flows
 from ebonytally import recorder
@@ -54,6 +56,39 @@
     assert len(harness.open()) == 320
 
 
+def test_planned_stop_waits_until_all_records_are_reported(monkeypatch):
+    monkeypatch.setattr(flow_handover, "RECORDS_PER_REPORT", 1)
+    harness = _make_harness()
+    harness.update_upstream(1, DRAINING)
+    harness.update_upstream(8, DRAINING)
+    harness.run(4, 2.0)
+    stopping = harness.vms["v2"]
+    handle = stopping.handle
+    left_out = {}
+    lost_until = harness.now + 3.0
+
+    def handle_lossy(peer, msg, now):
+        is_ask = isinstance(msg, flow_messages.KeeperAsk)
+        if is_ask and peer in left_out and now < lost_until:
+            return []
+        out = handle(peer, msg, now)
+        if is_ask and out:
+            asked = flow_owners.from_bitmap(msg.groups)
+            covered = flow_owners.from_bitmap(out[0].msg.covered)
+            left_out[peer] = set(asked) - set(covered)
+        return out
+
+    stopping.handle = handle_lossy
+    harness.stop_vm("v2")
+    while "v2" in harness.vms:
+        harness.run(0.1, 2.0)
+    assert harness.now >= lost_until
+    assert set(left_out) == {"v1", "v3", "v4", "v5"}
+    assert not any(left_out.values())
+    harness.run(4, 2.0)
+    assert _fault_kinds(harness) == set()
+
+
 def test_two_vm_losses_with_repair_between_break_no_flow():
     harness = _make_harness()
     harness.update_upstream(1, DRAINING)
