Model the handover of flow records between owners

The check had no handover. Owners of two epochs are active at once, VMs learn of an epoch one after the other, packets arrive anywhere.

--- a/modelcheck/__main__.py
+++ b/modelcheck/__main__.py
@@ -7,6 +7,7 @@
 
 from modelcheck import bounds
 from modelcheck import confirm_model
+from modelcheck import handover_model
 from modelcheck import lease_model
 from modelcheck import log_model
 from modelcheck import order_model
@@ -34,6 +35,10 @@
     models += [
         (limit, votes_model.VotesModel(limit)) for limit in bounds.VOTES
     ]
+    models += [
+        (limit, handover_model.HandoverModel(limit))
+        for limit in bounds.HANDOVER
+    ]
     models.append(("Confirm()", confirm_model.ConfirmModel()))
     verdicts = [_check(limit, model) for limit, model in models]
     return 0 if all(verdicts) else 1
--- a/modelcheck/bounds.py
+++ b/modelcheck/bounds.py
@@ -1,5 +1,6 @@
 """Search bounds of the models: small in every run, large on request."""
 
+from modelcheck import handover_model
 from modelcheck import lease_model
 from modelcheck import log_state
 from modelcheck import order_model
@@ -12,6 +13,7 @@
 Read = read_model.Bounds
 Order = order_model.Bounds
 Votes = votes_model.Bounds
+Handover = handover_model.Bounds
 
 LOG_SMALL = (
     Log(terms=3, entries=2, crashes=0, candidates=TWO),
@@ -50,3 +52,4 @@
 )
 ORDER_LARGE = (Order(terms=3, orders=3, entries=4),)
 VOTES = (Votes(terms=3, wipes=1), Votes(terms=4, wipes=2))
+HANDOVER = (Handover(epochs=2), Handover(epochs=4))
