--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -18,6 +18,7 @@
     "restart",
     "capacity",
     "placing",
+    "feed",
 )
 
 
