Feed model: message sizes are those of the product

Cause: the sizes were estimates (95, 115, 14 and 110 bytes); measured frames have 86, 96, 11 and 79. A test compares the sizes.

--- a/benches/feed_model.py
+++ b/benches/feed_model.py
@@ -16,11 +16,12 @@
 
 import attrs
 
-# Bytes of datagrams with IP and UDP headers, as the present messages take.
-POLL_BYTES = 95
-ANSWER_BYTES = 115
-NAME_BYTES = 14
-CHANGE_BYTES = 110
+# Bytes of the product's polls and answers with IP and UDP headers, and what
+# a control VM's name and a record add to an answer.
+POLL_BYTES = 86
+ANSWER_BYTES = 96
+NAME_BYTES = 11
+CHANGE_BYTES = 79
 ONE_WAY_S = 0.0014
 IN_DATA_CENTRE_S = 0.0002
 
--- a/tests/test_bench_feed.py
+++ b/tests/test_bench_feed.py
@@ -3,6 +3,11 @@
 import pytest
 
 from benches import bench_feed as bench
+from benches import feed_model
+from ebonytally.feed import messages
+from ebonytally import peer_datagrams
+from ebonytally.registry import records
+from ebonytally import wire
 
 # A drain, a configuration or an evacuation must be in force in this time.
 MAX_DELAY_S = 5.0
@@ -35,3 +40,37 @@
     lossy = bench.simulate("pushes", 40, "loss", 4)
     assert calm["delay_max_s"] < 0.01
     assert lossy["delay_max_s"] > calm["delay_max_s"]
+
+
+def test_sizes_are_those_of_the_product():
+    names = tuple(f"10.{n}.0.139" for n in range(7))
+    record = records.Record(
+        "i-786f44329d",
+        1769247349745,
+        1234,
+        records.State.READY,
+        "service",
+        "10.128.64.25",
+        8367,
+        "north",
+        2,
+        "10.12.0.139",
+        1.234,
+    )
+
+    def size(msg):
+        frame = wire.encode(bytes(32), "10.12.0.139", msg)
+        return len(frame) + peer_datagrams.OVERHEAD_BYTES
+
+    def update(records_=(), names=()):
+        fields = (123456, 2**47, 70000, 70001, False, records_, 1234, 12)
+        return size(messages.Update(*fields, None, names, True, 78))
+
+    poll = messages.Poll(123456, 2**47, 70000, 1234, 12, True)
+    empty = update()
+    assert size(poll) == pytest.approx(feed_model.POLL_BYTES, abs=4)
+    assert empty == pytest.approx(feed_model.ANSWER_BYTES, abs=4)
+    name_bytes = (update(names=names) - empty) / len(names)
+    assert name_bytes == pytest.approx(feed_model.NAME_BYTES, abs=1)
+    record_bytes = update(records_=(record,)) - empty
+    assert record_bytes == pytest.approx(feed_model.CHANGE_BYTES, abs=4)
