The next try of a flow goes to another data centre

Cause: an entry VM tries three upstreams for a flow that doesn't open. Where it chose upstreams of other data centres (its own has none, or is full), all three could be in one that is cut off or without power; its caller waited 1.4 s in vain. Ruled out: loss of packets (none in the test), and back-off: it ends only what was tried, one upstream at a time. Change: upstreams of another data centre in which one was tried in vain are left out while there are warm ones elsewhere.

--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -114,41 +114,59 @@
         candidates = self._find_candidates(service)
         if candidates is None:
             return None
-        entries = candidates.sample(self._rng)
-        best = self._choose_among(service, entries, tried, now)
-        all_entries = candidates.all() if best is None else entries
-        if len(all_entries) > len(entries):
-            entries = all_entries
-            best = self._choose_among(service, entries, tried, now)
+        usable = self._usable(candidates, tried, now)
+        warm = [entry for entry in usable if entry.cold_until <= now]
+        best = self._least_loaded(warm)
+        if best is None or self._rng.random() * len(usable) > len(warm):
+            best = self._cold_due(service, usable, now) or best
         if best is None:
             best = self._least_loaded(
                 [
                     entry
-                    for entry in entries
+                    for entry in candidates.all()
                     if entry.cold_until <= now and entry.record.id not in tried
                 ]
             )
         return best.record if best is not None else None
 
-    def _choose_among(
+    def _usable(
         self,
-        service: str,
-        entries: list[registries.Entry],
+        candidates: _Candidates,
         tried: tuple[str, ...],
         now: float,
-    ) -> registries.Entry | None:
-        """Return an upstream that isn't backed off, None if there is none."""
-        usable = [
-            entry
+    ) -> list[registries.Entry]:
+        """Return upstreams that aren't backed off and weren't tried.
+
+        Another data centre in which one was tried in vain may be cut off
+        or down as a whole: it is left out if there are warm ones elsewhere.
+        """
+        silent = self._other_data_centres(tried)
+        usable: list[registries.Entry] = []
+        for entries in (candidates.sample(self._rng), candidates.all()):
+            usable = [
+                entry
+                for entry in entries
+                if entry.record.id not in tried
+                and self.load(entry.record.id).backed_off_until <= now
+            ]
+            elsewhere = [
+                entry
+                for entry in usable
+                if entry.record.data_centre not in silent
+            ]
+            if any(entry.cold_until <= now for entry in elsewhere):
+                return elsewhere
+        return usable
+
+    def _other_data_centres(self, ids: tuple[str, ...]) -> set[str]:
+        """Return the data centres of upstreams, without the own one."""
+        entries = [self._registry.get(id_) for id_ in ids]
+        return {
+            entry.record.data_centre
             for entry in entries
-            if entry.record.id not in tried
-            and self.load(entry.record.id).backed_off_until <= now
-        ]
-        warm = [entry for entry in usable if entry.cold_until <= now]
-        best = self._least_loaded(warm)
-        if best is None or self._rng.random() * len(usable) > len(warm):
-            best = self._cold_due(service, usable, now) or best
-        return best
+            if entry is not None
+            and entry.record.data_centre != self._data_centre
+        }
 
     def _find_candidates(self, service: str) -> _Candidates | None:
         """Return a service's upstreams that may get new flows, if any."""
