--- a/ebonytally/cli/cli_help.py
+++ b/ebonytally/cli/cli_help.py
@@ -115,8 +115,9 @@
 
 For one control VM whose daemon reports that its log is damaged, or that
 was told to take no part. Run it on that VM with the daemon stopped, while
-a majority of the other control VMs runs. The folder is emptied (old files
-are kept beside it), and the VM fetches all data from the others.
+a majority of the other control VMs runs. Its data is set aside (old files
+stay in the folder, renamed to "damaged-..."), and the VM fetches all data
+from the others.
 Without --yes it only shows what the folder contains.
 Exit status: 0 done, 1 not done, 2 bad usage or settings.
 """,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -187,6 +187,19 @@
     assert cli.run([verb, str(tmp_path / "none.json"), "--yes"]) == 2
 
 
+def test_help_of_repair_says_where_the_old_files_are(tmp_path, capsys):
+    path = _control_settings(tmp_path)
+    folder = tmp_path / "data"
+    folder.mkdir()
+    (folder / "vote").write_bytes(b"unreadable")
+    assert cli.run(["repair", path, "--yes"]) == 0
+    assert (folder / "damaged-vote").read_bytes() == b"unreadable"
+    cli.run(["repair", "--help"])
+    assert (
+        'stay in the folder, renamed to "damaged-' in capsys.readouterr().out
+    )
+
+
 def test_repair_is_refused_while_a_daemon_runs(tmp_path, capsys):
     path = _control_settings(tmp_path)
     folder = tmp_path / "data"
