Many entry VMs no longer keep control VMs busy before the first configuration

An entry VM without a view polled each control VM every 0.05 s, and took only the answer to its latest poll: with answers slower than 0.05 s it never got further, and 94 of them kept the control VMs too busy to elect a leader. Each entry VM also fetched the whole registry from each control VM, and control VMs whose digests differed sent each other all records. Change: a control VM that answers is polled every 0.3 s, one that doesn't less and less often; late answers count; polls carry the digest of the registry, and one that is equal needs no records; control VMs exchange digests of 64 parts and send only parts that differ; digests are kept up to date by each change.

--- a/benches/feed_model.py
+++ b/benches/feed_model.py
@@ -18,7 +18,7 @@
 
 # Bytes of the product's polls and answers with IP and UDP headers, and what
 # a control VM's name and a record add to an answer.
-POLL_BYTES = 86
+POLL_BYTES = 95
 ANSWER_BYTES = 96
 NAME_BYTES = 11
 CHANGE_BYTES = 79
--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -21,6 +21,10 @@
 # An entry VM without a complete view polls all control VMs this often, so
 # that after a restart of all VMs it serves once one control VM is back.
 JOIN_POLL_INTERVAL_S = 0.05
+# After so many unanswered polls of a control VM the interval is doubled for
+# each further one, so that many entry VMs don't keep a control VM busy.
+JOIN_POLLS = 10
+MAX_JOIN_INTERVAL_S = 0.4
 # Without a newer answer the view may be outdated: nothing is refused for an
 # entry that it lacks.
 MAX_VIEW_AGE_S = 1.2
@@ -40,6 +44,8 @@
     :param start: start number of its process, 0 if unknown
     :param revision: revision of its registry up to which all is known
     :param poll_number: number of the last poll
+    :param answered_number: number of the last poll that was answered
+    :param unanswered: number of polls since the last answer
     :param unanswered_since: time of the first poll since the last answer
     :param in_touch: it follows a leader, or is one
     :param is_complete: it has sent all of its registry at least once
@@ -49,6 +55,8 @@
     start: int = 0
     revision: int = 0
     poll_number: int = 0
+    answered_number: int = 0
+    unanswered: int = 0
     polled_at: float = -1e9
     answered_at: float = -1e9
     unanswered_since: float | None = None
@@ -61,6 +69,16 @@
         since = self.unanswered_since
         return since is not None and now - since > ANSWER_TIMEOUT_S
 
+    def is_join_poll_due(self, now: float) -> bool:
+        """Return whether an entry VM without a view should poll it again."""
+        interval_s = POLL_INTERVAL_S
+        if self.unanswered:
+            doublings = max(0, self.unanswered - JOIN_POLLS)
+            interval_s = min(
+                JOIN_POLL_INTERVAL_S * 2**doublings, MAX_JOIN_INTERVAL_S
+            )
+        return now - self.polled_at >= interval_s
+
 
 @attrs.frozen
 class View:
@@ -146,11 +164,8 @@
         if not self._primary or self._must_replace(self._primary, now):
             self._choose_primary(now)
             if not self.is_complete():
-                for name in self._control_vms:
-                    if (
-                        now - self._control_vms[name].polled_at
-                        >= JOIN_POLL_INTERVAL_S
-                    ):
+                for name, control_vm in self._control_vms.items():
+                    if control_vm.is_join_poll_due(now):
                         out.append(self._poll(name, now))
         primary = self._control_vms.get(self._primary)
         if primary is not None and now - primary.polled_at >= POLL_INTERVAL_S:
@@ -204,7 +219,11 @@
         now: float,
     ) -> list[actions.Action]:
         control_vm = self._control_vms.get(peer)
-        if control_vm is None or msg.poll_number != control_vm.poll_number:
+        if control_vm is None or not (
+            control_vm.answered_number
+            < msg.poll_number
+            <= control_vm.poll_number
+        ):
             return []
         self._record_answer(peer, control_vm, msg, now)
         self._newest_version = max(self._newest_version, msg.version)
@@ -214,7 +233,9 @@
         if peer == self._primary or not self.is_complete():
             self._set_control_vms(msg.control_vms)
         out: list[actions.Action] = []
-        if msg.more:
+        # Until the view is complete one control VM sends all its records;
+        # the registries of the others are equal, or nearly so.
+        if msg.more and (peer == self._primary or self.is_complete()):
             out.append(self._poll(peer, now))
         if msg.version > self.view.version and self._fetch is None:
             out += self._request_change(peer, msg.version, now)
@@ -259,13 +280,12 @@
         msg: messages.Update,
         now: float,
     ) -> None:
-        took_s = now - control_vm.polled_at
-        if control_vm.rtt_s >= UNKNOWN_RTT_S:
-            control_vm.rtt_s = took_s
-        else:
-            control_vm.rtt_s += RTT_SMOOTHING * (took_s - control_vm.rtt_s)
+        if msg.poll_number == control_vm.poll_number:
+            self._measure_rtt(control_vm, now)
+            control_vm.unanswered = 0
+            control_vm.unanswered_since = None
+        control_vm.answered_number = msg.poll_number
         control_vm.answered_at = now
-        control_vm.unanswered_since = None
         if (
             control_vm.in_touch != msg.in_touch
             or control_vm.start != msg.start
@@ -287,6 +307,13 @@
             entry_vms=max(1, msg.entry_vms),
         )
 
+    def _measure_rtt(self, control_vm: _ControlVm, now: float) -> None:
+        took_s = now - control_vm.polled_at
+        if control_vm.rtt_s >= UNKNOWN_RTT_S:
+            control_vm.rtt_s = took_s
+        else:
+            control_vm.rtt_s += RTT_SMOOTHING * (took_s - control_vm.rtt_s)
+
     def _apply_evacuations(self, peer: str, msg: messages.Update) -> None:
         if msg.out is None or msg.out_revision <= self.view.out_revision:
             return
@@ -365,6 +392,7 @@
         self._polls_sent += 1
         control_vm.poll_number = self._polls_sent
         control_vm.polled_at = now
+        control_vm.unanswered += 1
         if control_vm.unanswered_since is None:
             control_vm.unanswered_since = now
         poll = messages.Poll(
@@ -374,6 +402,7 @@
             self.view.version,
             self.view.out_revision,
             name == self._primary,
+            self._registry.digest(),
         )
         return actions.Send(name, poll)
 
--- a/ebonytally/feed/messages.py
+++ b/ebonytally/feed/messages.py
@@ -17,6 +17,8 @@
     :param version: version of the configuration in force at the entry VM
     :param out_revision: known revision of the data centres taken out
     :param primary: the entry VM mainly follows this control VM
+    :param digest: digest of the entry VM's registry; one that is equal
+        needs no records
     """
 
     poll_number: int
@@ -25,6 +27,7 @@
     version: int
     out_revision: int
     primary: bool
+    digest: int = 0
 
 
 @wire.message(641)
--- a/ebonytally/feed/server.py
+++ b/ebonytally/feed/server.py
@@ -100,7 +100,9 @@
             self._follower_polled_at.pop(peer, None)
         self._keep_configuration()
         since = msg.revision if msg.start == self._start else 0
-        changed = self._registry.changed_since(since)
+        changed: list[registries.Entry] = []
+        if msg.digest != self._registry.digest():
+            changed = self._registry.changed_since(since)
         state = self._machine.state
         out = state.out if state.out_revision != msg.out_revision else None
         room_bytes = UPDATE_BYTES - UPDATE_HEAD_BYTES
--- a/ebonytally/registry/gossip.py
+++ b/ebonytally/registry/gossip.py
@@ -110,6 +110,8 @@
             return self._handle_records_changed(msg, now)
         if isinstance(msg, records.Digest):
             return self._handle_digest(peer, msg, now)
+        if isinstance(msg, records.BucketDigests):
+            return self._handle_bucket_digests(peer, msg, now)
         return []
 
     def tick(
@@ -215,7 +217,22 @@
             peer=name,
             records=len(self._registry),
         )
-        return self._send(self._registry.entries(), [name], now)
+        msg = records.BucketDigests(self._registry.bucket_digests())
+        return [actions.Send(name, msg)]
+
+    def _handle_bucket_digests(
+        self,
+        name: str,
+        msg: records.BucketDigests,
+        now: float,
+    ) -> list[actions.Action]:
+        """Send the records of the buckets that differ from a peer's."""
+        own = self._registry.bucket_digests()
+        if len(msg.buckets) != len(own):
+            return self._send(self._registry.entries(), [name], now)
+        pairs = enumerate(zip(own, msg.buckets, strict=True))
+        differing = {n for n, (mine, theirs) in pairs if mine != theirs}
+        return self._send(self._registry.entries_of(differing), [name], now)
 
     def _send(
         self,
--- a/ebonytally/registry/records.py
+++ b/ebonytally/registry/records.py
@@ -96,3 +96,14 @@
     records: int
     followers: int
     leader: str
+
+
+@wire.message(622)
+@attrs.frozen
+class BucketDigests:
+    """Ask another control VM for its records in the buckets that differ.
+
+    :param buckets: digest of each bucket of the sender's registry
+    """
+
+    buckets: tuple[int, ...]
--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -1,6 +1,8 @@
 """Registry of one VM: merges announcements and records of other VMs."""
 
 import collections
+import functools
+import operator
 
 import attrs
 import xxhash
@@ -10,6 +12,8 @@
 from ebonytally.registry import records
 
 
+# Differences between two registries are looked for in these parts of them.
+BUCKETS = 64
 ENDED_STATES = (records.State.SILENT, records.State.GONE)
 
 
@@ -71,7 +75,7 @@
         # the same control VMs are heard.
         self._silence_due = 0.0
         self._heard: frozenset[str] = frozenset()
-        self._digest: int | None = None
+        self._digests = [0] * BUCKETS
         self.revision = 0
 
     def __len__(self) -> int:
@@ -88,16 +92,19 @@
 
     def digest(self) -> int:
         """Return a hash that is equal for registries with equal records."""
-        if self._digest is None:
-            text = "".join(
-                f"{record.id} {record.rank}\n"
-                for record in sorted(
-                    (entry.record for entry in self._entries.values()),
-                    key=lambda record: record.id,
-                )
-            )
-            self._digest = xxhash.xxh3_64_intdigest(text.encode())
-        return self._digest
+        return functools.reduce(operator.xor, self._digests)
+
+    def bucket_digests(self) -> tuple[int, ...]:
+        """Return such a hash for each bucket of ids."""
+        return tuple(self._digests)
+
+    def entries_of(self, buckets: set[int]) -> list[Entry]:
+        """Return the entries whose ids are in some buckets."""
+        return [
+            entry
+            for id_, entry in self._entries.items()
+            if _bucket_of(id_) in buckets
+        ]
 
     def changed_since(self, revision: int) -> list[Entry]:
         """Return the entries changed since a revision, oldest first."""
@@ -253,7 +260,9 @@
         old = self._entries.get(record.id)
         self._log_change(old, record, why, now)
         self.revision += 1
-        self._digest = None
+        if old is not None:
+            self._toggle_in_digest(old.record)
+        self._toggle_in_digest(record)
         entry = Entry(
             attrs.evolve(record, cold_for_s=0.0),
             now,
@@ -292,12 +301,18 @@
         record = entry.record
         del self._entries[record.id]
         self._ended.pop(record.id, None)
-        self._digest = None
+        self._toggle_in_digest(record)
         address = (record.address, record.port)
         if self._ids_by_address.get(address) == record.id:
             del self._ids_by_address[address]
         self._recorder.log_event(events.Event.UPSTREAM_FORGOTTEN, id=record.id)
 
+    def _toggle_in_digest(self, record: records.Record) -> None:
+        """Add a record to its bucket's digest, or remove it."""
+        text = f"{record.id} {record.rank}"
+        digest = xxhash.xxh3_64_intdigest(text.encode())
+        self._digests[_bucket_of(record.id)] ^= digest
+
     def _log_change(
         self,
         old: Entry | None,
@@ -326,6 +341,10 @@
         )
 
 
+def _bucket_of(id_: str) -> int:
+    return xxhash.xxh32_intdigest(id_.encode()) % BUCKETS
+
+
 def _make_record(
     announcement: records.Announcement, local_vm: str
 ) -> records.Record:
--- a/tests/test_bench_feed.py
+++ b/tests/test_bench_feed.py
@@ -66,7 +66,7 @@
         fields = (123456, 2**47, 70000, 70001, False, records_, 1234, 12)
         return size(messages.Update(*fields, None, names, True, 78))
 
-    poll = messages.Poll(123456, 2**47, 70000, 1234, 12, True)
+    poll = messages.Poll(123456, 2**47, 70000, 1234, 12, True, 2**63)
     empty = update()
     assert size(poll) == pytest.approx(feed_model.POLL_BYTES, abs=4)
     assert empty == pytest.approx(feed_model.ANSWER_BYTES, abs=4)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -323,3 +323,81 @@
     halves[0].registry.mark_silent_upstreams(frozenset(("c2",)), 10.0)
     entry.run(2.0)
     assert states(entry, [1]) == {records.State.SILENT}
+
+
+def polls_of(entry, seconds):
+    """Return how many polls an entry VM sends in some seconds."""
+    polls = 0
+    for _ in range(round(seconds / 0.02)):
+        entry.now += 0.02
+        out = entry.follower.tick(entry.now)
+        polls += sum(isinstance(action.msg, messages.Poll) for action in out)
+        entry.deliver(out)
+    return polls
+
+
+def test_an_entry_vm_without_a_configuration_polls_seldom():
+    control_vms = [echo_harness.ControlVm(f"c{n}") for n in range(4)]
+    for control_vm in control_vms:
+        control_vm.names = ("c0", "c1", "c2", "c3")
+        control_vm.in_touch = False
+    entry = echo_harness.EntryVm("e1", control_vms)
+    entry.run(1.0)
+    # One poll of each in 0.3 s, and one of the others in 0.5 s.
+    assert polls_of(entry, 3.0) <= 4 * 10 + 6 + 4
+
+
+def test_control_vms_that_answer_nothing_are_polled_less_and_less():
+    control_vms = [echo_harness.ControlVm(f"c{n}") for n in range(3)]
+    entry = echo_harness.EntryVm("e1", control_vms)
+    entry.unreachable = {"c0", "c1", "c2"}
+    assert polls_of(entry, 0.4) >= 3 * 6
+    entry.run(3.0)
+    assert polls_of(entry, 3.0) <= 3 * 9 + 6
+
+
+def test_answers_that_are_slower_than_polls_are_accepted():
+    control, _ = echo_harness.make_harness(upstreams=30)
+    entry = echo_harness.EntryVm("e1", [control])
+    in_transit = []
+    for _ in range(500):
+        entry.now += 0.02
+        for action in entry.follower.tick(entry.now):
+            for reply in control.handle("e1", action.msg, entry.now):
+                in_transit.append((entry.now + 0.4, reply.msg))
+        while in_transit and in_transit[0][0] <= entry.now:
+            out = entry.follower.handle("c1", in_transit.pop(0)[1], entry.now)
+            for action in out:
+                for reply in control.handle("e1", action.msg, entry.now):
+                    in_transit.append((entry.now + 0.4, reply.msg))
+    assert entry.follower.is_complete()
+    assert len(entry.registry) == 30
+
+
+def test_control_vms_with_equal_registries_send_their_records_once():
+    control_vms = [echo_harness.ControlVm(f"c{n}") for n in range(4)]
+    for control_vm in control_vms:
+        control_vm.names = ("c0", "c1", "c2", "c3")
+        control_vm.apply_configuration(2)
+        for number in range(1, 201):
+            announcement = echo_harness.announcement(number)
+            control_vms[0].registry.on_announcement(announcement, 0.0)
+            known = control_vms[0].registry.get(announcement.id)
+            control_vm.registry.merge(known.record, 0.0)
+    sent = 0
+    for control_vm in control_vms:
+        handle = control_vm.handle
+
+        def counting_handle(peer, msg, now, handle=handle):
+            nonlocal sent
+            replies = handle(peer, msg, now)
+            for reply in replies:
+                sent += len(getattr(reply.msg, "records", ()))
+            return replies
+
+        control_vm.handle = counting_handle
+    entry = echo_harness.EntryVm("e1", control_vms)
+    entry.run(5.0)
+    assert len(entry.registry) == 200
+    # The others send a datagram or two before the view is complete.
+    assert sent <= 200 + 3 * 2 * 9
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -346,3 +346,43 @@
         for entry in registry.mark_silent_upstreams(heard, now):
             silent_at[entry.record.id] = round(now, 2)
     assert silent_at == {"i-0": 3.0, "i-1": 3.4, "i-2": 4.9, "i-9": 6.0}
+
+
+def test_only_buckets_that_differ_are_sent_again():
+    first, second = make_registry("c1"), make_registry("c2")
+    gossips = {
+        registry_name: gossip.RegistryGossip(
+            registry_name,
+            ("c1", "c2"),
+            registry,
+            recorders.MemoryRecorder(),
+        )
+        for registry_name, registry in (("c1", first), ("c2", second))
+    }
+    for n in range(1000):
+        entry = announce(
+            first, 0.0, id=f"i-{n}", address=f"10.0.{n >> 8}.{n & 255}"
+        )
+        if n != 77:
+            second.merge(entry.record, 0.0)
+    assert first.digest() != second.digest()
+    sent = 0
+    # Shorter than the timeout of announcements.
+    for tick in range(1, 50):
+        now = tick * 0.05
+        for name, other in (("c1", "c2"), ("c2", "c1")):
+            pending = [
+                (name, other, action.msg)
+                for action in gossips[name].tick((), 0, "", now)
+            ]
+            while pending:
+                sender, receiver, msg = pending.pop()
+                if isinstance(msg, records.RecordsChanged):
+                    sent += len(msg.records)
+                pending += [
+                    (receiver, sender, action.msg)
+                    for action in gossips[receiver].handle(sender, msg, now)
+                ]
+    assert second.get("i-77") is not None
+    assert first.digest() == second.digest()
+    assert sent <= 200
