An entry VM without a view follows the first control VM that answers

Change: the control VM that sends the whole registry is remembered; another takes its place once it is overdue.

--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -116,6 +116,8 @@
         self._control_vms = {name: _ControlVm() for name in seeds}
         self._seeds = seeds
         self._primary = ""
+        # The control VM that sends its whole registry, "" for none.
+        self._records_from = ""
         self._other_index = 0
         self._others_polled_at = 0.0
         self._polls_sent = 0
@@ -233,9 +235,7 @@
         if peer == self._primary or not self.is_complete():
             self._set_control_vms(msg.control_vms)
         out: list[actions.Action] = []
-        # Until the view is complete one control VM sends all its records;
-        # the registries of the others are equal, or nearly so.
-        if msg.more and (peer == self._primary or self.is_complete()):
+        if self._may_continue(peer, msg.more, now):
             out.append(self._poll(peer, now))
         if msg.version > self.view.version and self._fetch is None:
             out += self._request_change(peer, msg.version, now)
@@ -307,6 +307,21 @@
             entry_vms=max(1, msg.entry_vms),
         )
 
+    def _may_continue(self, peer: str, more: bool, now: float) -> bool:
+        """Return whether to ask a control VM for the rest of its records.
+
+        Until the view is complete only one is asked for all of them: the
+        registries of the others are equal, or nearly so.
+        """
+        source = self._control_vms.get(self._records_from)
+        if source is None or source.is_overdue(now):
+            self._records_from = peer
+        if not more:
+            if peer == self._records_from:
+                self._records_from = ""
+            return False
+        return peer == self._records_from or self.is_complete()
+
     def _measure_rtt(self, control_vm: _ControlVm, now: float) -> None:
         took_s = now - control_vm.polled_at
         if control_vm.rtt_s >= UNKNOWN_RTT_S:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -401,3 +401,22 @@
     assert len(entry.registry) == 200
     # The others send a datagram or two before the view is complete.
     assert sent <= 200 + 3 * 2 * 9
+
+
+def test_an_entry_vm_gets_all_records_from_the_first_control_vm_that_is_back():
+    """Its seeds are still down, and it is notified by another one."""
+    back = echo_harness.ControlVm("c9", start=5)
+    back.apply_configuration(2)
+    back.in_touch = False
+    for number in range(1, 101):
+        back.registry.on_announcement(echo_harness.announcement(number), 0.0)
+    down = [echo_harness.ControlVm(f"c{n}") for n in range(3)]
+    entry = echo_harness.EntryVm("e1", down)
+    entry.unreachable = {"c0", "c1", "c2"}
+    entry.run(0.3)
+    entry.control_vms["c9"] = back
+    started = messages.Started(5)
+    entry.deliver(entry.follower.handle("c9", started, entry.now))
+    entry.run(0.1)
+    assert entry.follower.is_complete()
+    assert len(entry.registry) == 100
