--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,124 @@
+"""An endpoint that restarted elsewhere is taken for gone.
+
+An endpoint starts again under its id at another address; its first address
+then goes to an endpoint of another service. Rule FLOW.
+"""
+
+import asyncio
+import pathlib
+import sys
+import time
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+import standins  # noqa: E402
+
+CALM_S = 6.0
+WATCH_S = 12.0
+
+
+class User:
+    """Keeps a flow open and sends a request on it now and then."""
+
+    def __init__(self, client, number):
+        self._client = client
+        self._number = number
+        self._sent = 0
+        self.resets = []
+        self.unanswered = []
+
+    async def run(self, until, endpoints):
+        """Send requests until a time; note resets by the system."""
+        record = self._client.world.record
+        while time.monotonic() < until:
+            flow = standins.Flow(self._client, "198.18.0.1", 8080)
+            if not await flow.open():
+                record.write("not opened", by=flow.reset_by)
+                flow.close()
+                await asyncio.sleep(0.3)
+                continue
+            while time.monotonic() < until and not flow.reset_by:
+                self._sent += 1
+                id_ = f"{self._client.zone}-{self._number}-{self._sent}"
+                record.write("sent", id=id_, flow=flow.sport)
+                answer = await flow.request(id_)
+                record.write("answered", id=id_, answer=str(answer)[-60:])
+                if answer is None and time.monotonic() < until:
+                    self.unanswered.append(id_)
+                await asyncio.sleep(0.25)
+            if flow.reset_by == "system":
+                holders = [
+                    one.id
+                    for one in endpoints
+                    if one.alive_since is not None
+                    and time.monotonic() - one.alive_since > CALM_S
+                    and one.has_open(self._client.address, flow.sport)
+                ]
+                record.write("reset by the system", held_by=holders)
+                if holders:
+                    self.resets.append(
+                        f"flow of {self._client.address}:{flow.sport}, open "
+                        f"at {holders[0]}, reset by the system after "
+                        f"{flow.reset_at - flow.opened_at:.1f} s"
+                    )
+            flow.close()
+
+
+async def play(world, trouble):
+    """Return the breaks of FLOW."""
+    world.start_machines()
+    router = standins.Router(world)
+    checks = asyncio.create_task(router.run())
+    operator = standins.Operator(world)
+    await operator.put(
+        standins.document(
+            3,
+            [
+                standins.route("r-desk", 8080, "safe", "desk"),
+                standins.route("r-store", 8443, "download", "store"),
+            ],
+            ["desk", "store"],
+        )
+    )
+    await standins.wait_for_readiness(world, router)
+    await asyncio.sleep(4.0)
+    moving = standins.Endpoint(world, "desk", "buc-a", world.new_address(5))
+    other = standins.Endpoint(world, "store", "buc-c", world.new_address(5))
+    await moving.start()
+    await other.start()
+    await asyncio.sleep(6.0)
+
+    # The endpoint crashes and starts again under its id, elsewhere.
+    first_address = moving.address
+    moving.crash()
+    await asyncio.sleep(1.0)
+    moving.address = world.new_address(5)
+    await moving.start()
+    await asyncio.sleep(CALM_S)
+
+    until = time.monotonic() + WATCH_S
+    users = []
+    for zone in standins.ZONES:
+        client = standins.Client(world, router, zone)
+        await client.start()
+        users += [User(client, number) for number in range(3)]
+    tasks = [
+        asyncio.create_task(user.run(until, [moving])) for user in users
+    ]
+    await asyncio.sleep(3.0)
+
+    # An endpoint of the other service starts at the address that is free.
+    address = first_address if trouble else world.new_address(5)
+    newcomer = standins.Endpoint(world, "store", "buc-a", address)
+    world.record.write("newcomer", address=address, reused=trouble)
+    await newcomer.start()
+    await asyncio.gather(*tasks)
+    checks.cancel()
+    unanswered = sum(len(user.unanswered) for user in users)
+    world.record.write("requests without an answer", count=unanswered)
+    return [reset for user in users for reset in user.resets]
+
+
+if __name__ == "__main__":
+    standins.main(play, FOLDER)
