Review case 1: the address that an endpoint has left

An endpoint that started again under its id at another address is taken for gone when its first address goes to another service; its open flows are reset by the system (FLOW).

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,7 +32,7 @@
         """Send requests until a time; note resets by the system."""
         record = self._client.world.record
         while time.monotonic() < until:
-            flow = standins.Flow(self._client, "198.18.0.1", 8080)
+            flow = standins.Flow(self._client, standins.HOST, 8080)
             if not await flow.open():
                 record.write("not opened", by=flow.reset_by)
                 flow.close()
@@ -42,7 +42,7 @@
                 self._sent += 1
                 id_ = f"{self._client.zone}-{self._number}-{self._sent}"
                 record.write("sent", id=id_, flow=flow.sport)
-                answer = await flow.request(id_)
+                answer = await flow.request(id_, "POST")
                 record.write("answered", id=id_, answer=str(answer)[-60:])
                 if answer is None and time.monotonic() < until:
                     self.unanswered.append(id_)
@@ -75,7 +75,7 @@
         standins.document(
             3,
             [
-                standins.route("r-desk", 8080, "safe", "desk"),
+                standins.route("r-desk", 8080, "unsafe", "desk"),
                 standins.route("r-store", 8443, "download", "store"),
             ],
             ["desk", "store"],
@@ -83,10 +83,15 @@
     )
     await standins.wait_for_readiness(world, router)
     await asyncio.sleep(4.0)
-    moving = standins.Endpoint(world, "desk", "buc-a", world.new_address(5))
-    other = standins.Endpoint(world, "store", "buc-c", world.new_address(5))
-    await moving.start()
-    await other.start()
+    endpoints = []
+    for service, count in (("desk", 7), ("store", 4)):
+        for number in range(count):
+            zone = standins.ZONES[number % len(standins.ZONES)]
+            address = world.new_address(5)
+            endpoint = standins.Endpoint(world, service, zone, address)
+            await endpoint.start()
+            endpoints.append(endpoint)
+    moving = endpoints[0]
     await asyncio.sleep(6.0)
 
     # The endpoint crashes and starts again under its id, elsewhere.
@@ -102,10 +107,8 @@
     for zone in standins.ZONES:
         client = standins.Client(world, router, zone)
         await client.start()
-        users += [User(client, number) for number in range(3)]
-    tasks = [
-        asyncio.create_task(user.run(until, [moving])) for user in users
-    ]
+        users += [User(client, number) for number in range(10)]
+    tasks = [asyncio.create_task(user.run(until, endpoints)) for user in users]
     await asyncio.sleep(3.0)
 
     # An endpoint of the other service starts at the address that is free.
@@ -115,8 +118,13 @@
     await newcomer.start()
     await asyncio.gather(*tasks)
     checks.cancel()
-    unanswered = sum(len(user.unanswered) for user in users)
-    world.record.write("requests without an answer", count=unanswered)
+    unanswered = {id_ for user in users for id_ in user.unanswered}
+    ran = {
+        id_ for one in endpoints for _, id_, _ in one.ran if id_ in unanswered
+    }
+    world.record.write(
+        "requests without an answer", count=len(unanswered), ran=len(ran)
+    )
     return [reset for user in users for reset in user.resets]
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -28,6 +28,8 @@
 CONTROL_PORT = 8166
 INTERNAL_PORTS = (7720, 7735)
 ENDPOINT_PORT = 8080
+# The address of all routes; only a field of packets, nothing listens there.
+HOST = "127.18.0.1"
 HEARTBEAT_S = 0.77
 NETS = range(30, 100)
 ZONES = ("buc-a", "buc-b", "buc-c", "buc-d")
@@ -107,6 +109,7 @@
         self.folder = world.folder / self.name
         self.folder.mkdir()
         self.process = None
+        self.ports = INTERNAL_PORTS
         self._world = world
 
     def configure(self, seeds, bootstrap):
@@ -120,7 +123,7 @@
             "ip": self.address,
             "zone": self.zone,
             "region": "ro-buc",
-            "internal-port-range": list(INTERNAL_PORTS),
+            "internal-port-range": list(self.ports),
             "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
             "bootstrap": bootstrap,
             "in-fault-budget": not is_front,
@@ -193,6 +196,10 @@
             self.signal(signal.SIGKILL)
             self.process.wait()
 
+    def lose_disk(self):
+        """Delete what the machine has on its disk."""
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+
     def log_lines(self):
         """Return the decoded lines that the process wrote."""
         lines = []
@@ -217,6 +224,7 @@
         self._reserved = None
         self.net = self._reserve_net()
         self.machines = []
+        self.cut_zone = None
         self._next_host = 0
 
     def _reserve_net(self):
@@ -249,16 +257,43 @@
         """Return the machines that serve control."""
         return [one for one in self.machines if one.role == "core"]
 
-    def start_machines(self, fronts=FRONT_ZONES, cores=ZONES):
-        """Start the whole system for the first time."""
-        for zone in cores:
+    def is_cut(self, zone, other):
+        """Return whether nothing passes between two zones."""
+        if self.cut_zone is None:
+            return False
+        return (zone == self.cut_zone) != (other == self.cut_zone)
+
+    def zone_of(self, address):
+        """Return the zone of the machine with an address, "" for none."""
+        for machine in self.machines:
+            if machine.address == address:
+                return machine.zone
+        return ""
+
+    def make_machines(self, own_ports=False):
+        """Make the machines of the system, without starting any.
+
+        :param own_ports: each machine has an internal port range of its
+            own, so that proxies can stand between the machines
+        """
+        for zone in ZONES:
             self.machines.append(
                 Machine(self, "core", zone, self.new_address(1))
             )
-        for zone in fronts:
+        for zone in FRONT_ZONES:
             self.machines.append(
                 Machine(self, "front", zone, self.new_address(2))
             )
+        first, last = INTERNAL_PORTS
+        for number, machine in enumerate(self.machines):
+            if own_ports:
+                start = first + number * (last - first + 1)
+                machine.ports = (start, start + last - first)
+
+    def start_machines(self):
+        """Start the whole system for the first time."""
+        if not self.machines:
+            self.make_machines()
         seeds = [machine.address for machine in self.cores[:3]]
         for machine in self.machines:
             machine.configure(seeds, bootstrap=True)
@@ -313,6 +348,80 @@
     return int(words[1]), headers, answer
 
 
+class Links:
+    """Proxies between the machines, which can cut off a zone.
+
+    Each machine sends to its own ports at the other's address; there a
+    proxy stands, which passes everything on to the other's ports.
+    """
+
+    def __init__(self, world):
+        self._world = world
+        self._closers = []
+        self._sender = None
+
+    async def open(self):
+        """Open all proxies; must be called before the machines start."""
+        self._sender = await open_datagrams("127.0.0.1", 0, lambda *_: None)
+        self._closers.append(self._sender.close)
+        for source in self._world.machines:
+            for target in self._world.machines:
+                if source is not target:
+                    await self._open_link(source, target)
+
+    async def _open_link(self, source, target):
+        def pass_on(datagram, _):
+            if not self._world.is_cut(source.zone, target.zone):
+                self._sender.sendto(
+                    datagram, (target.address, target.ports[0])
+                )
+
+        transport = await open_datagrams(
+            target.address, source.ports[0], pass_on
+        )
+        self._closers.append(transport.close)
+        if "front" in (source.role, target.role):
+            return
+
+        async def on_connection(reader, writer):
+            await self._relay(source, target, reader, writer)
+
+        server = await asyncio.start_server(
+            on_connection, target.address, source.ports[0] + 1
+        )
+        self._closers.append(server.close)
+
+    async def _relay(self, source, target, reader, writer):
+        with contextlib.suppress(OSError):
+            await self._wait_while_cut(source, target)
+            back, forth = await asyncio.open_connection(
+                target.address, target.ports[0] + 1
+            )
+            await asyncio.gather(
+                self._copy(source, target, reader, forth),
+                self._copy(source, target, back, writer),
+            )
+        writer.close()
+
+    async def _copy(self, source, target, reader, writer):
+        """Pass bytes on; what a cut holds up is passed on after it."""
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                await self._wait_while_cut(source, target)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+    async def _wait_while_cut(self, source, target):
+        while self._world.is_cut(source.zone, target.zone):
+            await asyncio.sleep(0.05)
+
+    def close(self):
+        """Close all proxies."""
+        for close in self._closers:
+            close()
+
+
 class Operator:
     """Sends orders as the operator's API says."""
 
@@ -336,10 +445,10 @@
                 target = answer[1]["location"].split("/")[2]
                 address, _, text = target.partition(":")
                 port = int(text)
-            if answer is not None and answer[0] not in (307, 408, 429):
-                if answer[0] < 500:
-                    record.write("answer", path=path, status=answer[0])
-                    return answer[0], answer[2]
+            is_final = answer is not None and answer[0] < 500
+            if is_final and answer[0] not in (307, 408, 429):
+                record.write("answer", path=path, status=answer[0])
+                return answer[0], answer[2]
             await asyncio.sleep(pause_s)
             pause_s = min(1.0, pause_s * 2)
         record.write("no answer", path=path)
@@ -348,7 +457,12 @@
     async def put(self, document):
         """Send a configuration and expect its acknowledgement."""
         body = json.dumps(document).encode()
-        self._world.record.write("configuration", document=document)
+        self._world.record.write(
+            "configuration",
+            version=document["version"],
+            routes=len(document["routes"]),
+            last_route=document["routes"][-1],
+        )
         status, _ = await self.order("POST", "/v1/Config.Put", body)
         if status != 200:
             raise CannotRunError(f"configuration answered with {status}")
@@ -453,6 +567,8 @@
         self.queue = 8
         self.work_s = 0.04
         self.draining = False
+        # Whether heartbeats go to the control of its own zone first.
+        self.calls_own_zone = False
         self.cold_until = 0.0
         self.alive_since = None
         # Times and sources of the flows that opened, and of requests run.
@@ -535,11 +651,18 @@
             (machine.address, CONTROL_PORT) for machine in self.world.cores
         ]
         random.shuffle(targets)
+        if self.calls_own_zone:
+            targets.sort(
+                key=lambda one: self.world.zone_of(one[0]) != self.zone
+            )
         if self._beat_to is not None:
             targets.insert(0, self._beat_to)
         for address, port in targets[:3]:
             path = f"/v1/Instances.{verb}/{self.id}"
-            answer = await call(address, port, "POST", path, body)
+            if self.world.is_cut(self.zone, self.world.zone_of(address)):
+                answer = await asyncio.sleep(1.0)
+            else:
+                answer = await call(address, port, "POST", path, body)
             self._beat_to = None
             if answer is None or not 200 <= answer[0] < 300:
                 continue
@@ -556,6 +679,8 @@
         digits = "".join(c for c in self.id if c in "0123456789abcdefABCDEF")
         if number not in (0, int(digits, 16)) or len(datagram) < 40:
             return
+        if self.world.is_cut(self.zone, self.world.zone_of(source[0])):
+            return
         packet = Packet(datagram[8:])
         if not packet.is_whole or not packet.is_signed:
             self.world.record.write("forged packet at endpoint", id=self.id)
@@ -880,7 +1005,7 @@
     """
     made = {
         "name": name,
-        "host": "198.18.0.1",
+        "host": HOST,
         "path-prefix": f"/{port}/",
         "type": type_,
         "timeout-ms": timeout_ms,
@@ -941,6 +1066,7 @@
         disruption is to be played, and returns the breaks of the rule
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(pathlib.Path(folder) / "record.txt")
     world = None
     status = 2
@@ -952,8 +1078,10 @@
             record.write("break", detail=line)
         record.write("end", breaks=len(breaks), held=not breaks)
         status = 1 if breaks else 0
-        print(f"{len(breaks)} breaks" + "".join(f"\n  {b}" for b in breaks[:5]))
-    except (CannotRunError, TimeoutError, OSError) as exc:
+        print(
+            f"{len(breaks)} breaks" + "".join(f"\n  {b}" for b in breaks[:5])
+        )
+    except Exception as exc:
         record.write("can't run", why=repr(exc))
         print(f"can't run: {exc!r}")
     finally:
