--- a/review/standins.py
+++ b/review/standins.py
@@ -1085,6 +1085,8 @@
         record.write("can't run", why=repr(exc))
         print(f"can't run: {exc!r}")
     finally:
+        # A second signal must not leave processes behind.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         if world is not None:
             world.close()
         record.close()
