An upstream holds its present address only

Cause: the index of addresses kept the address that an upstream had left, by a restart elsewhere or by deregistering. The newcomer met that entry, and the older of the two became gone, which outranks every later announcement of the same start.

Change: the index is updated when a record's address changes and when it is gone.

The three new tests failed before the change (restart elsewhere, at the control VM and at a peer; a departed upstream with a later start).

--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -276,6 +276,11 @@
             self._ended[record.id] = None
         else:
             self._ended.pop(record.id, None)
+        if old is not None and (
+            _address_of(old.record) != _address_of(record)
+            or record.state == records.State.GONE
+        ):
+            self._release_address(old.record)
         self._claim_address(record, now)
         return entry
 
@@ -283,7 +288,7 @@
         """Mark the older of two upstreams with one address as gone."""
         if record.state == records.State.GONE:
             return
-        address = (record.address, record.port)
+        address = _address_of(record)
         other = self._entries.get(self._ids_by_address.get(address, ""))
         if other is None or other.record.id == record.id:
             self._ids_by_address[address] = record.id
@@ -297,14 +302,18 @@
         if older.record.state != records.State.GONE:
             self._change_state(older, records.State.GONE, now, "address taken")
 
+    def _release_address(self, record: records.Record) -> None:
+        """Remove an upstream from the index of addresses."""
+        address = _address_of(record)
+        if self._ids_by_address.get(address) == record.id:
+            del self._ids_by_address[address]
+
     def _remove(self, entry: Entry) -> None:
         record = entry.record
         del self._entries[record.id]
         self._ended.pop(record.id, None)
         self._toggle_in_digest(record)
-        address = (record.address, record.port)
-        if self._ids_by_address.get(address) == record.id:
-            del self._ids_by_address[address]
+        self._release_address(record)
         self._recorder.log_event(events.Event.UPSTREAM_FORGOTTEN, id=record.id)
 
     def _toggle_in_digest(self, record: records.Record) -> None:
@@ -341,6 +350,10 @@
         )
 
 
+def _address_of(record: records.Record) -> tuple[str, int]:
+    return record.address, record.port
+
+
 def _bucket_of(id_: str) -> int:
     return xxhash.xxh32_intdigest(id_.encode()) % BUCKETS
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -7,6 +7,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from ebonytally import actions
 from ebonytally import recorder as recorders
@@ -87,6 +88,32 @@
     assert state(registry, "i-1") == STATE.READY
 
 
+@pytest.mark.parametrize("at_peer", [False, True])
+def test_restarted_upstream_keeps_no_claim_to_the_address_it_left(at_peer):
+    """Guards against review case 1: a restart elsewhere counted as gone."""
+    registry, peer = make_registry(), make_registry("c2")
+    other = peer if at_peer else registry
+    for change in (
+        {"born_ms": 1000},
+        {"born_ms": 2000, "address": "10.128.0.77"},
+        {"born_ms": 3000, "id": "i-1", "service": "store"},
+    ):
+        entry = announce(registry, change["born_ms"] / 1000, **change)
+        peer.merge(registry.to_record(entry, 3.0), 3.0)
+    assert state(other) == STATE.READY
+    assert state(other, "i-1") == STATE.READY
+
+
+def test_upstream_that_left_takes_no_address_from_an_older_one():
+    """Guards against a departed upstream that keeps its address's claim."""
+    registry = make_registry()
+    announce(registry, 0.0, born_ms=5000)
+    registry.on_deregistration(ANNOUNCEMENT.id, 5000, 1.0)
+    announce(registry, 4.0, id="i-1", born_ms=4000, service="store")
+    assert state(registry, "i-1") == STATE.READY
+    assert state(registry) == STATE.GONE
+
+
 def test_only_the_source_control_vm_marks_an_upstream_silent():
     registry = make_registry()
     announce(registry, 0.0)
