An entry that names no upstream to use changes none

Cause: an announcement of anything took its address from any older upstream, which became gone at once and could not return by announcing itself.

Change: - A record is usable if the configuration in force has its service and the settings have its data centre. One that isn't takes neither the address nor the id of a usable one: as an announcement, as a record of another VM, at entry VMs, from a saved registry. It is kept, as its service may be in a configuration that arrives later. - An upstream that is heard keeps its address. It is gone for its address only once it is silent, or unheard for half of that timeout, while a younger usable one announces itself there. - A first announcement of an upstream whose address a younger one has is refused instead of being stored as gone, so that an upstream whose clock is slow is used once the other one is silent. - Refusals are logged (400) and counted (`announcements_refused`).

--- a/ebonytally/configuration/model.py
+++ b/ebonytally/configuration/model.py
@@ -67,6 +67,15 @@
     idle_timeout_s: float
 
 
+@attrs.frozen
+class _ContentWithoutRoutes:
+    """A `Content` whose routes, most of it, are left undecoded."""
+
+    routes: tuple
+    services: tuple[Service, ...]
+    idle_timeout_s: float
+
+
 @wire.message(600)
 @attrs.frozen
 class Configuration:
@@ -84,6 +93,12 @@
         """Return the decoded content."""
         return wire.unpack(zlib.decompress(self.packed), Content)
 
+    def service_names(self) -> frozenset[str]:
+        """Return the names of the services; much faster than `content`."""
+        data = zlib.decompress(self.packed)
+        services = wire.unpack(data, _ContentWithoutRoutes).services
+        return frozenset(service.name for service in services)
+
     def original_document(self) -> bytes:
         """Return exactly the bytes that the operator sent."""
         return zlib.decompress(self.document)
--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -70,6 +70,7 @@
             local_vm,
             limits.limits(deployment),
             recorder,
+            deployment.data_centres,
         )
         self._saved_registry = registry_store.RegistryStore(
             disk, self.registry, recorder
@@ -95,6 +96,7 @@
         # Counted at each tick: there are more polls than ticks.
         self._followers = 0
         self._token_count = 0
+        self._services_of = 0
         self._start = start
         self._stopping = False
 
@@ -119,6 +121,7 @@
         now: float,
     ) -> list[actions.Action]:
         """Register an upstream and tell the other control VMs of a change."""
+        self._update_services()
         return self.exchange.publish(
             self.registry.on_announcement(announcement, now), now
         )
@@ -185,12 +188,14 @@
                 self.exchange.count_entry_vms(self._followers, now),
                 now,
             )
+        self._update_services()
         if isinstance(msg, feed_messages.PartWanted):
             return self._source.handle_part_wanted(peer, msg)
         return self.exchange.handle(peer, msg, now)
 
     def tick(self, now: float, wall: float) -> list[actions.Action]:
         """Run the timers, save the registry if due, and update the voters."""
+        self._update_services()
         self._followers = self._source.count_followers(now)
 
         def entry_vms() -> tuple[str, ...]:
@@ -221,6 +226,14 @@
         self._stopping = True
         return self._run_call(self.agreement.transfer_leadership, now)
 
+    def _update_services(self) -> None:
+        """Tell the registry the services of a new configuration."""
+        configuration = self.machine.state.configuration
+        if configuration is None or self._services_of == configuration.version:
+            return
+        self._services_of = configuration.version
+        self.registry.use_services(configuration.service_names())
+
     def _save_registry(
         self,
         entry_vms: tuple[str, ...],
--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -68,6 +68,12 @@
                 service_address_of(route): route
                 for route in self._follower.view.content.routes
             }
+            self._registry.use_services(
+                frozenset(
+                    service.name
+                    for service in self._follower.view.content.services
+                )
+            )
 
     def handle_packet(self, packet: packets.Packet, now: float) -> Actions:
         """Return what must be sent for a caller's packet."""
--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -68,7 +68,9 @@
         self._rng = random.Random(seed)
         self._loads: dict[str, loads.UpstreamLoad] = {}
         self._candidates: dict[str, _Candidates] = {}
-        self._candidates_of: tuple[int, frozenset[str]] = (-1, frozenset())
+        # Revision, configuration version and data centres out of which
+        # the candidates were made.
+        self._candidates_of = (-1, 0, frozenset[str]())
 
     def load(self, id_: str) -> loads.UpstreamLoad:
         """Return an upstream's load, which the caller may change."""
@@ -170,10 +172,11 @@
 
     def _find_candidates(self, service: str) -> _Candidates | None:
         """Return a service's upstreams that may get new flows, if any."""
-        out = self._follower.view.out
-        if self._candidates_of != (self._registry.revision, out):
-            self._candidates_of = (self._registry.revision, out)
-            self._candidates = self._group_entries(out)
+        view = self._follower.view
+        made_of = (self._registry.revision, view.version, view.out)
+        if self._candidates_of != made_of:
+            self._candidates_of = made_of
+            self._candidates = self._group_entries(view.out)
         return self._candidates.get(service)
 
     def _group_entries(self, out: frozenset[str]) -> dict[str, _Candidates]:
@@ -184,6 +187,8 @@
                 continue
             if record.data_centre in out:
                 continue
+            if not self._registry.is_usable(record):
+                continue
             candidates = by_service.get(record.service)
             if candidates is None:
                 candidates = by_service[record.service] = _Candidates()
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -26,7 +26,10 @@
         """
         local_vm = deployment.cfg.name
         self._registry = registries.Registry(
-            local_vm, limits.limits(deployment), recorder
+            local_vm,
+            limits.limits(deployment),
+            recorder,
+            deployment.data_centres,
         )
         self.follower = follower.Follower(
             deployment.seeds,
--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -9,12 +9,14 @@
 
 from ebonytally import events
 from ebonytally import recorder as recorders
+from ebonytally.registry import addresses
 from ebonytally.registry import records
 
 
 # Differences between two registries are looked for in these parts of them.
 BUCKETS = 64
 ENDED_STATES = (records.State.SILENT, records.State.GONE)
+ADDRESS_TAKEN = "address taken"
 
 
 @attrs.frozen
@@ -22,7 +24,7 @@
     """Time limits of the registry.
 
     :param silent_s: seconds without an announcement after which an
-        upstream is silent
+        upstream is silent; half of it if another one has its address
     :param keep_s: seconds that the record of a silent or gone upstream is
         kept; its flows may continue if only its announcements were lost
     """
@@ -49,26 +51,38 @@
 
 
 class Registry:
-    """Upstreams by id; each change increments `revision`."""
+    """Upstreams by id; each change increments `revision`.
+
+    A record is usable if its service and data centre are known. One that
+    isn't may come from a writer that is no upstream: it takes neither the
+    id nor the address of a usable one. It is kept nevertheless, as its
+    service may be in a configuration that hasn't arrived here yet.
+    """
 
     def __init__(
         self,
         local_vm: str,
         limits: Limits,
         recorder: recorders.Recorder,
+        data_centres: frozenset[str] = frozenset(),
     ) -> None:
-        """Set up without records.
+        """Set up without records and configuration.
 
         :param local_vm: name of this VM, the source of its announcements
+        :param data_centres: names of all data centres, empty if unknown
         """
         self._local_vm = local_vm
         self._limits = limits
         self._recorder = recorder
+        self._data_centres = data_centres
+        # None without a configuration: then all services count as known.
+        self._services: frozenset[str] | None = None
         # Ordered by revision, least recently changed first.
         self._entries: collections.OrderedDict[str, Entry] = (
             collections.OrderedDict()
         )
-        self._ids_by_address: dict[tuple[str, int], str] = {}
+        # Upstreams that are gone are not in it.
+        self._addresses = addresses.AddressIndex()
         # Ids of the upstreams that are silent or gone, in order of change.
         self._ended: dict[str, None] = {}
         # Earliest time at which an upstream may become silent, as long as
@@ -90,6 +104,18 @@
         """Return all entries."""
         return list(self._entries.values())
 
+    def use_services(self, services: frozenset[str]) -> None:
+        """Set the names of the services in the configuration in force."""
+        self._services = services
+
+    def is_usable(self, record: records.Record) -> bool:
+        """Return whether a record's service and data centre are known."""
+        if self._services is not None and record.service not in self._services:
+            return False
+        return not self._data_centres or (
+            record.data_centre in self._data_centres
+        )
+
     def digest(self) -> int:
         """Return a hash that is equal for registries with equal records."""
         return functools.reduce(operator.xor, self._digests)
@@ -131,16 +157,27 @@
         :return: the entry if it changed and must be published, else None
         """
         entry = self._entries.get(announcement.id)
-        if entry is not None and _is_stale(entry, announcement):
-            return None
         record = _make_record(announcement, self._local_vm)
+        is_usable = self.is_usable(record)
+        if entry is not None and self.is_usable(entry.record) != is_usable:
+            if not is_usable:
+                self._refuse(record, "unknown service or data centre")
+                return None
+        elif entry is not None and _is_stale(entry, announcement):
+            return None
+        if entry is None and self._is_address_taken(record):
+            self._refuse(record, ADDRESS_TAKEN)
+            return None
         if entry is not None and _is_unchanged(entry.record, record):
             entry.heard_at = now
             entry.sequence = announcement.sequence
             return None
-        return self._store(
+        entry = self._store(
             record, now + announcement.cold_for_s, now, "announced"
         )
+        if self._is_in_use(entry):
+            self._end_predecessors(entry, now)
+        return entry
 
     def on_deregistration(
         self, id_: str, born_ms: int, now: float
@@ -165,13 +202,13 @@
         """Merge another VM's record; return the entry if it changed."""
         entry = self._entries.get(record.id)
         if entry is not None:
-            if record.rank <= entry.record.rank:
+            if self._precedence(record) <= self._precedence(entry.record):
                 return None
             local_record = attrs.evolve(
                 entry.record,
                 sequence=max(entry.record.sequence, entry.sequence),
             )
-            if record.rank <= local_record.rank:
+            if self._precedence(record) <= self._precedence(local_record):
                 # It was heard here since then, which peers don't know.
                 return self._store(
                     local_record, entry.cold_until, now, "heard"
@@ -201,7 +238,7 @@
                 continue
             if record.source != self._local_vm and record.source in heard:
                 continue
-            silent_at = entry.heard_at + self._limits.silent_s
+            silent_at = self._silent_at(entry)
             if silent_at <= now:
                 changed.append(self._mark_silent(entry, now))
             else:
@@ -217,12 +254,14 @@
                 self._remove(entry)
 
     def _mark_silent(self, entry: Entry, now: float) -> Entry:
+        """Mark an upstream silent, or gone if its address is taken."""
         heard_at = entry.heard_at
-        silent_entry = self._change_state(
-            entry, records.State.SILENT, now, "silent"
-        )
-        silent_entry.heard_at = heard_at
-        return silent_entry
+        state, why = records.State.SILENT, "silent"
+        if self._is_address_taken(entry.record):
+            state, why = records.State.GONE, ADDRESS_TAKEN
+        ended_entry = self._change_state(entry, state, now, why)
+        ended_entry.heard_at = heard_at
+        return ended_entry
 
     def extend_timeouts(self, paused_s: float) -> None:
         """Extend the timeouts of all upstreams by a pause of this VM."""
@@ -276,44 +315,85 @@
             self._ended[record.id] = None
         else:
             self._ended.pop(record.id, None)
-        if old is not None and (
-            _address_of(old.record) != _address_of(record)
-            or record.state == records.State.GONE
-        ):
-            self._release_address(old.record)
-        self._claim_address(record, now)
+        if old is not None:
+            self._addresses.remove(old.record)
+        if record.state != records.State.GONE:
+            self._addresses.add(record)
+        if self._addresses.others_at(record):
+            # One of them may be silent earlier than without the other.
+            self._silence_due = now
         return entry
 
-    def _claim_address(self, record: records.Record, now: float) -> None:
-        """Mark the older of two upstreams with one address as gone."""
-        if record.state == records.State.GONE:
-            return
-        address = _address_of(record)
-        other = self._entries.get(self._ids_by_address.get(address, ""))
-        if other is None or other.record.id == record.id:
-            self._ids_by_address[address] = record.id
-            return
-        entry = self._entries[record.id]
-        older, younger = sorted(
-            (entry, other),
-            key=lambda entry: entry.record.born_ms,
+    def _precedence(self, record: records.Record) -> tuple:
+        """Return a key that is greater for the record to keep of an id."""
+        return (self.is_usable(record), *record.rank)
+
+    def _is_in_use(self, entry: Entry) -> bool:
+        """Return whether an upstream announces itself and is usable."""
+        return entry.record.state not in ENDED_STATES and self.is_usable(
+            entry.record
         )
-        self._ids_by_address[address] = younger.record.id
-        if older.record.state != records.State.GONE:
-            self._change_state(older, records.State.GONE, now, "address taken")
 
-    def _release_address(self, record: records.Record) -> None:
-        """Remove an upstream from the index of addresses."""
-        address = _address_of(record)
-        if self._ids_by_address.get(address) == record.id:
-            del self._ids_by_address[address]
+    def _is_address_taken(self, record: records.Record) -> bool:
+        """Return whether a younger upstream is in use at the same address."""
+        return any(
+            other.record.born_ms > record.born_ms and self._is_in_use(other)
+            for other in self._others_at_address(record)
+        )
+
+    def _others_at_address(self, record: records.Record) -> list[Entry]:
+        return [
+            self._entries[id_] for id_ in self._addresses.others_at(record)
+        ]
+
+    def _end_predecessors(self, entry: Entry, now: float) -> None:
+        """Mark older upstreams at an entry's address as gone if unheard.
+
+        One that goes on announcing itself is running, whatever another
+        writer announces.
+        """
+        for other in self._others_at_address(entry.record):
+            is_older = other.record.born_ms < entry.record.born_ms
+            if is_older and self._is_unheard(other, now):
+                self._change_state(
+                    other, records.State.GONE, now, ADDRESS_TAKEN
+                )
+
+    def _is_unheard(self, entry: Entry, now: float) -> bool:
+        """Return whether an upstream is silent, or should be marked so."""
+        if entry.record.state == records.State.SILENT:
+            return True
+        return (
+            entry.record.source == self._local_vm
+            and self._silent_at(entry) <= now
+        )
+
+    def _silent_at(self, entry: Entry) -> float:
+        """Return when an upstream becomes silent if not heard before."""
+        silent_s = self._limits.silent_s
+        if self._is_address_taken(entry.record):
+            silent_s /= 2
+        return entry.heard_at + silent_s
+
+    def _refuse(self, record: records.Record, reason: str) -> None:
+        """Log and count an announcement that changes nothing."""
+        self._recorder.count("announcements_refused")
+        self._recorder.log_event(
+            events.Event.ANNOUNCEMENT_REFUSED,
+            peer=f"{record.address}:{record.port}",
+            reason=reason,
+            detail=(
+                f"upstream {record.id}, service {record.service}, "
+                f"data centre {record.data_centre}"
+            ),
+        )
 
     def _remove(self, entry: Entry) -> None:
         record = entry.record
         del self._entries[record.id]
         self._ended.pop(record.id, None)
         self._toggle_in_digest(record)
-        self._release_address(record)
+        self._addresses.remove(record)
         self._recorder.log_event(events.Event.UPSTREAM_FORGOTTEN, id=record.id)
 
     def _toggle_in_digest(self, record: records.Record) -> None:
@@ -350,10 +430,6 @@
         )
 
 
-def _address_of(record: records.Record) -> tuple[str, int]:
-    return record.address, record.port
-
-
 def _bucket_of(id_: str) -> int:
     return xxhash.xxh32_intdigest(id_.encode()) % BUCKETS
 
