A deregistration of another start changes nothing

A deregistration with a later start than the known one marked the upstream as gone, and its open flows were reset while it ran and announced itself.

Cause: only earlier starts were ignored. A later start that has ended says nothing about the known one; if that has ended too, it is silent soon.

Change: the start must be the known one, or not given.

test_deregistration_of_another_start_changes_nothing failed before.

--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -184,13 +184,16 @@
     ) -> Entry | None:
         """Mark an upstream as gone because it deregistered itself.
 
+        A deregistration of another start than the known one says nothing
+        about that one.
+
         :param born_ms: its start, milliseconds since 1970; 0 if not given
         :return: the entry if it changed and must be published, else None
         """
         entry = self._entries.get(id_)
         if entry is None or entry.record.state == records.State.GONE:
             return None
-        if born_ms and born_ms < entry.record.born_ms:
+        if born_ms not in (0, entry.record.born_ms):
             return None
         return self._change_state(entry, records.State.GONE, now, "left")
 
--- a/tests/test_registry_claims.py
+++ b/tests/test_registry_claims.py
@@ -215,6 +215,15 @@
     assert state(registry, slow.id) == STATE.READY
 
 
+def test_deregistration_of_another_start_changes_nothing():
+    """Guards against a working upstream that another start's end resets."""
+    registry = make_registry()
+    registry.on_announcement(UPSTREAM, 0.0)
+    for born_ms in (UPSTREAM.born_ms - 1, UPSTREAM.born_ms + 1, LATE_BORN_MS):
+        assert registry.on_deregistration(UPSTREAM.id, born_ms, 0.5) is None
+    assert state(registry) == STATE.READY
+
+
 class OddEntries(stateful.RuleBasedStateMachine):
     """Running upstreams are usable everywhere, whatever others announce."""
 
