No entry VM resets a flow that may be open

Cause: an entry VM without a packet's route reset its flow if no control VM polled so far had named a newer configuration. A commit is known everywhere only after up to 0.7 s. The cookie, which shows that another entry VM opened the flow, was not looked at. Likewise a copy of an opening packet was reset although an earlier copy may have opened its flow by way of another entry VM.

Change: a packet with a known cookie is forwarded without a route, and the control VM is polled. A flow is reset for lack of a route only where it was seen under the route, which a configuration has removed since. A copy of an opening packet is reset only if all earlier copies were dropped here.

--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -56,6 +56,7 @@
             self._cookies,
             recorder,
         )
+        self._unanswered = openings.Unanswered()
         self._swept_at = 0.0
         self.needs_update = False
 
@@ -78,18 +79,25 @@
     def handle_packet(self, packet: packets.Packet, now: float) -> Actions:
         """Return what must be sent for a caller's packet."""
         route = self._routes.get(packet.service_address)
-        if route is None:
-            return self._refuse_without_route(packet, now)
         if packet.is_opening:
+            if route is None:
+                return self._refuse_without_route(packet, now)
             return self._open(packet, route, now)
         entry = self._cookies.entry(packet.cookie)
-        if entry is None:
+        if entry is None or not self._view_version:
             return self._drop_unknown_cookie(packet)
         record = entry.record
         if record.state == records.State.GONE:
             return self._reset_ended(packet, record)
+        if route is None:
+            if self._tracker.was_routed(packet.key):
+                return self._reset_without_route(packet, record)
+            # The route may be in a configuration that isn't known here yet.
+            self._recorder.count("packets_without_route")
+            self.needs_update = True
         self._openings.on_opened(packet.key, record.id, now)
-        self._tracker.on_packet(packet, record.id, now)
+        is_routed = route is not None
+        self._tracker.on_packet(packet, record.id, is_routed, now)
         return [
             packets.ToUpstream(
                 record.id,
@@ -107,6 +115,7 @@
             idle_s = self._follower.view.content.idle_timeout_s
             self._tracker.sweep(idle_s, now)
             self._cookies.sweep()
+            self._unanswered.sweep(now)
             self._placing.sweep()
         return list(self._openings.tick(now))
 
@@ -131,21 +140,18 @@
     def _refuse_without_route(
         self, packet: packets.Packet, now: float
     ) -> Actions:
-        """Refuse a packet to an address without a route."""
-        fresh = self._follower.is_fresh(now)
+        """Refuse an opening packet to an address without a route."""
+        is_reset = self._may_reset_opening(packet, now)
         self._recorder.log_event(
             events.Event.FLOW_REFUSED,
             flow=packet.key.hex(),
             reason="no_route",
             version=self._view_version,
-            fresh=fresh,
-            reset=fresh,
+            fresh=self._follower.is_fresh(now),
+            reset=is_reset,
         )
         self._recorder.count("packets_without_route")
-        if not fresh:
-            self.needs_update = True
-            return []
-        return [packets.Reset(packet)]
+        return [packets.Reset(packet)] if is_reset else []
 
     def _refuse_without_upstream(
         self,
@@ -153,26 +159,37 @@
         service: str,
         now: float,
     ) -> Actions:
-        """Refuse a new flow without an eligible upstream.
-
-        No upstream has served it, so a reset is safe; yet it is reset only if
-        the configuration is fresh, as an older one may lack an upstream.
-        """
-        fresh = self._follower.is_fresh(now)
+        """Refuse a new flow without an eligible upstream."""
+        is_reset = self._may_reset_opening(packet, now)
         self._recorder.log_event(
             events.Event.FLOW_REFUSED,
             flow=packet.key.hex(),
             reason="no_upstream",
             service=service,
             revision=self._registry.revision,
-            fresh=fresh,
-            reset=fresh,
+            fresh=self._follower.is_fresh(now),
+            reset=is_reset,
         )
         self._recorder.count("flows_without_upstream")
-        if not fresh:
-            self.needs_update = True
-            return []
-        return [packets.Reset(packet)]
+        return [packets.Reset(packet)] if is_reset else []
+
+    def _may_reset_opening(self, packet: packets.Packet, now: float) -> bool:
+        """Return whether to answer an opening packet with a reset.
+
+        An outdated view may lack its route or upstream. If an earlier copy
+        went to another entry VM, the flow may have opened there since.
+        """
+        if self._follower.is_fresh(now):
+            return packet.copies == self._unanswered.count(packet.key)
+        self._unanswered.add(packet.key, packet.copies, now)
+        self.needs_update = True
+        return False
+
+    def _reset_without_route(
+        self, packet: packets.Packet, record: records.Record
+    ) -> Actions:
+        """Reset a flow whose route a newer configuration has removed."""
+        return self._reset(packet, record, "no_route")
 
     def _drop_unknown_cookie(self, packet: packets.Packet) -> Actions:
         """Drop a packet whose cookie isn't known here yet.
@@ -196,6 +213,11 @@
     ) -> Actions:
         """Reset a flow whose upstream is gone."""
         self._tracker.close(packet.key)
+        return self._reset(packet, record, "upstream_gone")
+
+    def _reset(
+        self, packet: packets.Packet, record: records.Record, reason: str
+    ) -> Actions:
         if packet.is_end:
             return []
         self._recorder.log_event(
@@ -203,6 +225,8 @@
             flow=packet.key.hex(),
             upstream=record.id,
             state=record.state.name.lower(),
+            reason=reason,
+            version=self._view_version,
         )
         return [packets.Reset(packet)]
 
--- a/ebonytally/echo/openings.py
+++ b/ebonytally/echo/openings.py
@@ -47,6 +47,38 @@
     silences_counted: int = 0
 
 
+class Unanswered:
+    """Flows whose opening packets so far were all dropped here.
+
+    No upstream has got one of them, so these flows aren't open.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty set of flows."""
+        self._counts: dict[bytes, int] = {}
+        self._added_at: dict[bytes, float] = {}
+
+    def count(self, key: bytes) -> int:
+        """Return how many opening packets of a flow were dropped."""
+        return self._counts.get(key, 0)
+
+    def add(self, key: bytes, copies: int, now: float) -> None:
+        """Add a dropped opening packet, if all before it were dropped.
+
+        :param copies: opening packets of the flow sent before this one
+        """
+        if copies == self.count(key) and len(self._counts) < MAX_OPENINGS:
+            self._counts[key] = copies + 1
+            self._added_at[key] = now
+
+    def sweep(self, now: float) -> None:
+        """Remove flows whose callers have given up."""
+        for key, added_at in list(self._added_at.items()):
+            if now - added_at > OPENING_TIMEOUT_S:
+                del self._counts[key]
+                del self._added_at[key]
+
+
 class Openings:
     """Tries one upstream after another until a flow opens."""
 
--- a/ebonytally/echo/packets.py
+++ b/ebonytally/echo/packets.py
@@ -13,6 +13,8 @@
     :param key: address and port of caller and service: the flow
     :param service_address: the service's address and port, six bytes
     :param is_opening: opens a new flow
+    :param copies: opening packets of the flow sent before this one, 0 in
+        a packet that isn't an opening one
     :param is_end: the caller closes or resets the flow
     :param cookie: the cookie that it echoes, of the flow's upstream
     :param ack: next byte that the caller expects
@@ -28,6 +30,7 @@
     ack: int
     size: int
     raw: bytes
+    copies: int = 0
 
 
 @attrs.define
--- a/ebonytally/echo/tracking.py
+++ b/ebonytally/echo/tracking.py
@@ -15,6 +15,7 @@
 class _OpenFlow:
     """An open flow.
 
+    :param is_routed: a configuration in force here had its route
     :param request_ack: the caller's acknowledgement number when it sent
         its request
     :param busy_since: seconds, when the request was sent; 0 for none
@@ -22,6 +23,7 @@
 
     upstream: str
     last_at: float
+    is_routed: bool
     request_ack: int = 0
     busy_since: float = 0.0
 
@@ -39,15 +41,30 @@
         self._recorder = recorder
         self._flows: dict[bytes, _OpenFlow] = {}
 
-    def on_packet(self, packet: packets.Packet, id_: str, now: float) -> None:
-        """Update the load by a packet of an open flow."""
+    def was_routed(self, key: bytes) -> bool:
+        """Return whether a flow's route has been in force here."""
+        flow = self._flows.get(key)
+        return flow is not None and flow.is_routed
+
+    def on_packet(
+        self,
+        packet: packets.Packet,
+        id_: str,
+        is_routed: bool,
+        now: float,
+    ) -> None:
+        """Update the load by a packet of an open flow.
+
+        :param is_routed: the configuration in force has the flow's route
+        """
         flow = self._flows.get(packet.key)
         if flow is None:
             if packet.is_end or len(self._flows) >= MAX_FLOWS:
                 return
-            flow = self._flows[packet.key] = _OpenFlow(id_, now)
+            flow = self._flows[packet.key] = _OpenFlow(id_, now, is_routed)
             self._placing.load(id_).flows += 1
         flow.last_at = now
+        flow.is_routed = flow.is_routed or is_routed
         if flow.busy_since and packet.ack != flow.request_ack:
             self._recorder.record_duration(
                 "first_answer", now - flow.busy_since
--- a/ebonytally/platform/packet_wire.py
+++ b/ebonytally/platform/packet_wire.py
@@ -22,6 +22,7 @@
 def decode(data: bytes) -> packets.Packet | None:
     """Return a caller's packet, None if malformed.
 
+    In an opening packet `ack` counts the copies sent before it.
     A packet with both SYN and ACK is refused as well: only an upstream
     sends one.
     """
@@ -42,6 +43,7 @@
         ack,
         size,
         data,
+        ack if flags & _SYN else 0,
     )
 
 
