A JSON value of another type is refused

`"routes": {}` was acknowledged as a configuration without routes, which drops all of them; the deregistration `"x"` was taken for one without a start, and ended the upstream; `"backends": ""` counted as none. An error repeated a value of any size, so that a refusal of a heartbeat could have a body of a megabyte.

Cause: the decoder looked for the names of fields in whatever came, and iterated over whatever came.

Change: objects and lists are checked for their type; an error quotes 80 characters of a value.

The new tests of configurations and deregistrations and the test against a real HTTP server failed before.

--- a/ebonytally/platform/decode.py
+++ b/ebonytally/platform/decode.py
@@ -13,6 +13,7 @@
 # Integers are stored and sent in 64 bits.
 _INT_BOUND = 2**63
 _MAX_PORT_DIGITS = 5
+_MAX_QUOTED_CHARS = 80
 
 
 class DecodeError(errors.EbonytallyError):
@@ -28,7 +29,7 @@
     if cls is float and type(value) is int:
         value = float(value)
     if type(value) is not cls:
-        raise TypeError(f"expected type {cls.__name__}, got {value!r}")
+        raise TypeError(f"expected type {cls.__name__}, got {_quoted(value)}")
     if cls is int and not -_INT_BOUND <= value < _INT_BOUND:
         bits = value.bit_length()
         raise ValueError(f"expected a 64-bit integer, got {bits} bits")
@@ -51,7 +52,40 @@
         )
         for field in attrs.fields(cls)
     }
-    return gen.make_dict_structure_fn(cls, conv, **names)
+    structure_fields = gen.make_dict_structure_fn(cls, conv, **names)
+
+    def structure_object(value: object, cls: type) -> object:
+        return structure_fields(_of_type(value, dict, "an object"), cls)
+
+    return structure_object
+
+
+def _list_hook(cls: type, conv: cattrs.Converter) -> typing.Callable:
+    """Return a hook for lists that refuses other containers and text."""
+    (item,) = typing.get_args(cls)
+    structure_item = conv.get_structure_hook(item)
+
+    def structure_list(value: object, _: type) -> list:
+        items = _of_type(value, list, "a list")
+        return [structure_item(each, item) for each in items]
+
+    return structure_list
+
+
+def _of_type(value: object, cls: type[_T], expected: str) -> _T:
+    """Return a value unchanged.
+
+    :param expected: the type in JSON's terms, for the error
+    :raises TypeError: when the value is of another type
+    """
+    if type(value) is not cls:
+        raise TypeError(f"expected {expected}, got {_quoted(value)}")
+    return value
+
+
+def _quoted(value: object) -> str:
+    """Return a value as text that is short enough for an error."""
+    return repr(value)[:_MAX_QUOTED_CHARS]
 
 
 def _make_converter() -> cattrs.Converter:
@@ -59,6 +93,9 @@
     for primitive in (str, int, float, bool):
         conv.register_structure_hook(primitive, _strict)
     conv.register_structure_hook_factory(attrs.has, _wire_names_hook)
+    conv.register_structure_hook_factory(
+        lambda cls: typing.get_origin(cls) is list, _list_hook
+    )
     return conv
 
 
@@ -92,7 +129,9 @@
     is_port = _is_number(port_text) and len(port_text) <= _MAX_PORT_DIGITS
     port = int(port_text) if is_port else 0
     if len(parts) != 4 or len(octets) != 4 or not 0 < port < 65536:
-        raise DecodeError(step, text[:80], "expected IPv4 address:port")
+        raise DecodeError(
+            step, text[:_MAX_QUOTED_CHARS], "expected IPv4 address:port"
+        )
     return host, port
 
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -220,6 +220,19 @@
         calls.decode_config(body)
 
 
+@pytest.mark.parametrize(
+    "body", [b'"x"', b'"born"', b"[]", b"3", b'{"born":1e9}']
+)
+def test_deregistration_that_is_no_object_with_a_start_is_refused(body):
+    with pytest.raises(decode.DecodeError):
+        calls.decode_deregistration(body)
+
+
+@pytest.mark.parametrize("body", [b"", b" ", b"{}", b'{"state":"x"}'])
+def test_deregistration_may_lack_its_start(body):
+    assert calls.decode_deregistration(body) == 0
+
+
 def test_heartbeat_under_an_id_without_a_number_is_refused():
     body = json.dumps(HEARTBEAT).encode()
     for id_ in ("", "xyz", "0123456789abcdef0", "1" + "-" * 200):
@@ -285,9 +298,29 @@
     config["routes"][0]["host"] = "198.018.0.1"
 
 
+def _set_routes_to_an_object(config):
+    config["routes"] = {}
+
+
+def _set_services_to_an_object(config):
+    config["services"] = {}
+
+
+def _set_backends_to_text(config):
+    config["routes"][1]["backends"] = ""
+
+
+def _set_limits_to_a_list(config):
+    config["limits"] = []
+
+
 @pytest.mark.parametrize(
     "corrupt",
     [
+        _set_routes_to_an_object,
+        _set_services_to_an_object,
+        _set_backends_to_text,
+        _set_limits_to_a_list,
         _set_infinite_timeout,
         _set_timeout_to_no_number,
         _set_huge_weight,
--- a/tests/test_unexpected_input.py
+++ b/tests/test_unexpected_input.py
@@ -10,6 +10,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import msgpack
+import pytest
 
 from ebonytally import deployment
 from ebonytally import events
@@ -17,6 +18,7 @@
 from ebonytally import peers
 from ebonytally.platform import calls
 from ebonytally.platform import decode as decode_lib
+from ebonytally.platform import http_calls
 from ebonytally.platform import http_server
 from ebonytally.platform import packet_port
 from ebonytally.platform import packet_wire
@@ -26,6 +28,7 @@
 from ebonytally import wire
 from tests import agreement_fakes as fakes
 from tests import echo_harness
+from tests import test_control_node as control_tests
 from tests import test_http_bounds
 from tests import test_platform_wire
 
@@ -168,6 +171,103 @@
     assert failed_steps(recorder) == ["call"]
 
 
+def nested(depth):
+    """Return a heartbeat with a value nested so deeply."""
+    text = json.dumps({**test_platform_wire.HEARTBEAT, "zone": 0})
+    value = "[" * depth + "]" * depth
+    return text.replace('"zone": 0', f'"zone": {value}').encode()
+
+
+def with_field(**change):
+    """Return a heartbeat with some fields changed."""
+    return json.dumps({**test_platform_wire.HEARTBEAT, **change}).encode()
+
+
+ODD_BODIES = {
+    "nested 50": nested(50),
+    "nested 900": nested(900),
+    "nested 300,000": nested(300_000),
+    "number of 4,000 digits": with_field(sequence=0).replace(
+        b'"sequence": 0', b'"sequence": ' + b"9" * 4000
+    ),
+    "number of 500,000 digits": with_field(sequence=0).replace(
+        b'"sequence": 0', b'"sequence": ' + b"9" * 500_000
+    ),
+    "exponent": with_field(born=0).replace(b'"born": 0', b'"born": 1e999'),
+    "port": with_field(address="10.128.0.9:70000"),
+    "long text": with_field(concurrency="x" * 900_000),
+    "bytes": bytes(range(256)),
+    "not an object": b'"service address zone"',
+}
+
+
+class Announcements:
+    """Keeps the announcements that a server accepts."""
+
+    def __init__(self):
+        self.accepted = []
+
+    def on_announcement(self, announcement):
+        """Keep an announcement."""
+        self.accepted.append(announcement)
+
+    def on_deregistration(self, id_, born_ms):
+        """Keep a deregistration."""
+        self.accepted.append((id_, born_ms))
+
+    def count_malformed(self, order, detail, source):
+        """Ignore a malformed call."""
+
+
+def post(endpoint, path, body):
+    """Return status line and body of the answer to one call."""
+    with contextlib.ExitStack() as stack:
+        conn = socket.create_connection(
+            (endpoint.address, endpoint.port), timeout=5.0
+        )
+        stack.callback(conn.close)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        conn.sendall(head.encode() + body)
+        answer = b""
+        while data := conn.recv(65536):
+            answer += data
+    return answer.split(b"\r\n", 1)[0], answer.partition(b"\r\n\r\n")[2]
+
+
+@pytest.mark.parametrize("verb", ["Heartbeat", "Deregister"])
+def test_odd_entry_is_refused_and_the_next_ones_are_taken(verb):
+    """Guards against one odd entry that ends the processes reading it."""
+    endpoint = deployment.Endpoint("127.0.0.1", test_http_bounds.free_port())
+    deployed = attrs.evolve(
+        control_tests.make_deployment("c1", (), False),
+        orders_endpoint=endpoint,
+    )
+    recorder = recorders.MemoryRecorder()
+    upstreams = Announcements()
+    path = f"/v1/Instances.{verb}/i-7f3a91c2"
+    with contextlib.ExitStack() as stack:
+        http_calls.OrdersServer(
+            deployed, stack, upstreams, upstreams, recorder
+        )
+        for name, body in ODD_BODIES.items():
+            if verb == "Deregister":
+                body = body.replace(b'"sequence"', b'"born"')
+            status, answer = post(endpoint, path, body)
+            if status.startswith(b"HTTP/1.1 200"):
+                assert verb == "Deregister", name
+                assert upstreams.accepted.pop()[1] == 1700000000000, name
+            assert upstreams.accepted == [], name
+            assert len(answer) < 4096, name
+            status, _ = post(endpoint, path, with_field())
+            assert status == b"HTTP/1.1 200 OK", name
+            assert len(upstreams.accepted) == 1, name
+            upstreams.accepted.clear()
+    assert failed_steps(recorder) == []
+
+
 ODD_VALUE = st.one_of(
     VALUE.filter(lambda value: not isinstance(value, bytes)),
     st.sampled_from(
