Numbers and addresses that no upstream has are refused

An entry with a start in microseconds, or 2**62, outranked every restart of an upstream until it was forgotten; one with 2**62 slots was the least loaded of its service and got all new flows first; 0.0.0.0, multicast and broadcast addresses were taken.

Cause: only 64 bits were checked.

The error names field and range.

--- a/ebonytally/platform/calls.py
+++ b/ebonytally/platform/calls.py
@@ -1,5 +1,6 @@
 """Decoding of the bodies of the platform's HTTP calls."""
 
+import ipaddress
 import json
 
 import attrs
@@ -14,6 +15,11 @@
 _IDEMPOTENT = ("safe", "download")
 # A record with its names must fit into one datagram.
 _MAX_NAME_CHARS = 128
+# Bounds far above any real value: a larger one is a unit mistaken or a
+# sentinel, and would outrank or outweigh all other upstreams.
+_MAX_BORN_MS = 10**14
+_MAX_SLOTS = 10**6
+_MAX_COLD_MS = 24 * 3600 * 1000
 # Weight of the service that a route names without a weight.
 _SOLE_WEIGHT = 1
 
@@ -119,18 +125,13 @@
     if beat.state not in (_READY, _DRAINING):
         detail = f"state must be {_READY} or {_DRAINING}, got {beat.state!r}"
         raise decode.DecodeError(step, id_, detail)
-    if beat.concurrency < 1 or beat.sequence < 0 or beat.born < 0:
-        detail = (
-            "concurrency must be at least 1, sequence and born at least 0; "
-            f"got {beat.concurrency}, {beat.sequence}, {beat.born}"
-        )
-        raise decode.DecodeError(step, id_, detail)
-    if beat.cold_remaining_ms < 0 or not beat.service:
-        detail = (
-            "cold-remaining-ms must be at least 0 and service not empty; got "
-            f"{beat.cold_remaining_ms}, service of {len(beat.service)} chars"
-        )
-        raise decode.DecodeError(step, id_, detail)
+    _check_range(step, "concurrency", beat.concurrency, 1, _MAX_SLOTS)
+    _check_range(step, "sequence", beat.sequence, 0, None)
+    _check_range(step, "born", beat.born, 0, _MAX_BORN_MS)
+    cold_ms = beat.cold_remaining_ms
+    _check_range(step, "cold-remaining-ms", cold_ms, 0, _MAX_COLD_MS)
+    if not beat.service:
+        raise decode.DecodeError(step, id_, "service must not be empty")
     longest = max(len(name) for name in (id_, beat.service, beat.zone))
     if longest > _MAX_NAME_CHARS:
         detail = (
@@ -139,6 +140,8 @@
         )
         raise decode.DecodeError(step, id_[:_MAX_NAME_CHARS], detail)
     address, port = decode.endpoint(beat.address, step)
+    if not _is_host(address):
+        raise decode.DecodeError(step, address, "must be a host's address")
     return records.Announcement(
         id=id_,
         born_ms=beat.born,
@@ -153,6 +156,27 @@
     )
 
 
+def _check_range(
+    step: str, field: str, value: float, least: int, most: int | None
+) -> None:
+    """Check a number's range.
+
+    :param most: largest value allowed, None for no limit
+    :raises DecodeError: when the number is out of range
+    """
+    if value < least or (most is not None and value > most):
+        limit = f" and at most {most}" if most is not None else ""
+        detail = f"must be at least {least}{limit}, got {value}"
+        raise decode.DecodeError(step, field, detail)
+
+
+def _is_host(address: str) -> bool:
+    """Return whether an IPv4 address can be that of one host."""
+    parsed = ipaddress.IPv4Address(address)
+    is_this_network = parsed.packed[0] == 0
+    return not (is_this_network or parsed.is_multicast or parsed.is_reserved)
+
+
 def decode_deregistration(body: bytes) -> int:
     """Return `born` from the body of a deregistration, 0 when absent.
 
@@ -161,7 +185,9 @@
     step = "read deregister"
     if not body.strip():
         return 0
-    return decode.structure(_json(body, step), _Deregister, step).born
+    born = decode.structure(_json(body, step), _Deregister, step).born
+    _check_range(step, "born", born, 0, _MAX_BORN_MS)
+    return born
 
 
 def decode_config(body: bytes) -> tuple[int, model.Content]:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -188,6 +188,16 @@
         {"cold-remaining-ms": 10**400},
         {"concurrency": 2**64},
         {"born": 2**70},
+        {"born": 2**62},
+        {"born": 1_700_000_000_000_000},
+        {"concurrency": 2**62},
+        {"cold-remaining-ms": 1e300},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:65536"},
+        {"address": "10.128.0.9:-1"},
+        {"address": "0.0.0.0:8080"},
+        {"address": "224.0.0.1:8080"},
+        {"address": "255.255.255.255:8080"},
         {"service": "\ud800"},
         {"service": "s" * 129},
         {"zone": "buc-\udfff"},
@@ -221,7 +231,7 @@
 
 
 @pytest.mark.parametrize(
-    "body", [b'"x"', b'"born"', b"[]", b"3", b'{"born":1e9}']
+    "body", [b'"x"', b'"born"', b"[]", b"3", b'{"born":-1}', b'{"born":1e9}']
 )
 def test_deregistration_that_is_no_object_with_a_start_is_refused(body):
     with pytest.raises(decode.DecodeError):
