--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -96,7 +96,7 @@
         # Counted at each tick: there are more polls than ticks.
         self._followers = 0
         self._token_count = 0
-        self._services_of = 0
+        self._services_version = 0
         self._start = start
         self._stopping = False
 
@@ -229,9 +229,12 @@
     def _update_services(self) -> None:
         """Tell the registry the services of a new configuration."""
         configuration = self.machine.state.configuration
-        if configuration is None or self._services_of == configuration.version:
+        if (
+            configuration is None
+            or self._services_version == configuration.version
+        ):
             return
-        self._services_of = configuration.version
+        self._services_version = configuration.version
         self.registry.use_services(configuration.service_names())
 
     def _save_registry(
--- a/ebonytally/platform/calls.py
+++ b/ebonytally/platform/calls.py
@@ -121,24 +121,25 @@
     beat = decode.structure(_json(body, step), _Heartbeat, step)
     if packet_wire.upstream_number(id_) is None:
         detail = "id must contain 1 to 16 hex digits"
-        raise decode.DecodeError(step, id_, detail)
+        raise decode.DecodeError(step, decode.quoted(id_), detail)
     if beat.state not in (_READY, _DRAINING):
-        detail = f"state must be {_READY} or {_DRAINING}, got {beat.state!r}"
-        raise decode.DecodeError(step, id_, detail)
+        state = decode.quoted(beat.state)
+        detail = f"state must be {_READY} or {_DRAINING}, got {state}"
+        raise decode.DecodeError(step, decode.quoted(id_), detail)
     _check_range(step, "concurrency", beat.concurrency, 1, _MAX_SLOTS)
     _check_range(step, "sequence", beat.sequence, 0, None)
     _check_range(step, "born", beat.born, 0, _MAX_BORN_MS)
     cold_ms = beat.cold_remaining_ms
     _check_range(step, "cold-remaining-ms", cold_ms, 0, _MAX_COLD_MS)
     if not beat.service:
-        raise decode.DecodeError(step, id_, "service must not be empty")
+        raise decode.DecodeError(step, "service", "must not be empty")
     longest = max(len(name) for name in (id_, beat.service, beat.zone))
     if longest > _MAX_NAME_CHARS:
         detail = (
             f"id, service and zone must have at most {_MAX_NAME_CHARS} "
             f"chars, got one of {longest}"
         )
-        raise decode.DecodeError(step, id_[:_MAX_NAME_CHARS], detail)
+        raise decode.DecodeError(step, decode.quoted(id_), detail)
     address, port = decode.endpoint(beat.address, step)
     if not _is_host(address):
         raise decode.DecodeError(step, address, "must be a host's address")
--- a/ebonytally/platform/decode.py
+++ b/ebonytally/platform/decode.py
@@ -29,7 +29,7 @@
     if cls is float and type(value) is int:
         value = float(value)
     if type(value) is not cls:
-        raise TypeError(f"expected type {cls.__name__}, got {_quoted(value)}")
+        raise TypeError(f"expected type {cls.__name__}, got {quoted(value)}")
     if cls is int and not -_INT_BOUND <= value < _INT_BOUND:
         bits = value.bit_length()
         raise ValueError(f"expected a 64-bit integer, got {bits} bits")
@@ -79,11 +79,11 @@
     :raises TypeError: when the value is of another type
     """
     if type(value) is not cls:
-        raise TypeError(f"expected {expected}, got {_quoted(value)}")
+        raise TypeError(f"expected {expected}, got {quoted(value)}")
     return value
 
 
-def _quoted(value: object) -> str:
+def quoted(value: object) -> str:
     """Return a value as text that is short enough for an error."""
     return repr(value)[:_MAX_QUOTED_CHARS]
 
@@ -129,9 +129,7 @@
     is_port = _is_number(port_text) and len(port_text) <= _MAX_PORT_DIGITS
     port = int(port_text) if is_port else 0
     if len(parts) != 4 or len(octets) != 4 or not 0 < port < 65536:
-        raise DecodeError(
-            step, text[:_MAX_QUOTED_CHARS], "expected IPv4 address:port"
-        )
+        raise DecodeError(step, quoted(text), "expected IPv4 address:port")
     return host, port
 
 
--- a/tests/test_unexpected_input.py
+++ b/tests/test_unexpected_input.py
@@ -196,6 +196,7 @@
     "exponent": with_field(born=0).replace(b'"born": 0', b'"born": 1e999'),
     "port": with_field(address="10.128.0.9:70000"),
     "long text": with_field(concurrency="x" * 900_000),
+    "long state": with_field(state="x" * 900_000),
     "bytes": bytes(range(256)),
     "not an object": b'"service address zone"',
 }
