--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -17,6 +17,7 @@
 from ebonytally.echo import tracking
 from ebonytally import events
 from ebonytally.feed import follower as followers
+from ebonytally.load import interfaces
 from ebonytally import recorder as recorders
 from ebonytally.registry import records
 from ebonytally.registry import registry as registries
@@ -40,20 +41,25 @@
         follower: followers.Follower,
         placing: placings.Placing,
         recorder: recorders.Recorder,
+        observers: tuple[interfaces.FlowObserver, ...] = (),
     ) -> None:
-        """Create a forwarder without flows."""
+        """Create a forwarder without flows.
+
+        :param observers: hear what packets show about upstreams
+        """
         self._registry = registry
         self._follower = follower
         self._placing = placing
         self._recorder = recorder
         self._cookies = cookies.Cookies(registry, recorder)
-        self._tracker = tracking.FlowTracker(placing, recorder)
+        self._tracker = tracking.FlowTracker(placing, observers, recorder)
         self._view_version = 0
         self._routes: dict[bytes, model.Route] = {}
         self._openings = openings.Openings(
             registry,
             placing,
             self._cookies,
+            observers,
             recorder,
         )
         self._unanswered = openings.Unanswered()
@@ -88,7 +94,7 @@
             return self._drop_unknown_cookie(packet)
         record = entry.record
         if record.state == records.State.GONE:
-            return self._reset_ended(packet, record)
+            return self._reset_ended(packet, record, now)
         if route is None:
             if self._tracker.was_routed(packet.key):
                 return self._reset_without_route(packet, record)
@@ -210,9 +216,10 @@
         self,
         packet: packets.Packet,
         record: records.Record,
+        now: float,
     ) -> Actions:
         """Reset a flow whose upstream is gone."""
-        self._tracker.close(packet.key)
+        self._tracker.close(packet.key, now)
         return self._reset(packet, record, "upstream_gone")
 
     def _reset(
--- a/ebonytally/echo/openings.py
+++ b/ebonytally/echo/openings.py
@@ -10,6 +10,7 @@
 from ebonytally.echo import packets
 from ebonytally.echo import placing as placings
 from ebonytally import events
+from ebonytally.load import interfaces
 from ebonytally import recorder as recorders
 from ebonytally.registry import records
 from ebonytally.registry import registry as registries
@@ -87,12 +88,17 @@
         registry: registries.Registry,
         placing: placings.Placing,
         cookies: cookie_lib.Cookies,
+        observers: tuple[interfaces.FlowObserver, ...],
         recorder: recorders.Recorder,
     ) -> None:
-        """Create an empty set of openings."""
+        """Create an empty set of openings.
+
+        :param observers: hear of openings and silences
+        """
         self._registry = registry
         self._placing = placing
         self._cookies = cookies
+        self._observers = observers
         self._recorder = recorder
         self._openings: dict[bytes, _Opening] = {}
         self._ticked_at = 0.0
@@ -137,7 +143,10 @@
             return
         self._remove(key, opening)
         self._placing.load(id_).on_opened(now)
-        self._recorder.record_duration("flow_opening", now - opening.began_at)
+        took_s = now - opening.began_at
+        self._recorder.record_duration("flow_opening", took_s)
+        for observer in self._observers:
+            observer.on_opened(id_, took_s, now)
 
     def tick(self, now: float) -> Offers:
         """Retry openings whose upstream hasn't answered; drop old ones."""
@@ -214,6 +223,9 @@
         backed_off = [
             self._placing.load(id_).on_silence(now) for id_ in counted
         ]
+        for observer in self._observers:
+            for id_ in counted:
+                observer.on_silence(id_, now)
         return any(backed_off)
 
     def _choose(
--- a/ebonytally/echo/tracking.py
+++ b/ebonytally/echo/tracking.py
@@ -4,11 +4,15 @@
 
 from ebonytally.echo import packets
 from ebonytally.echo import placing as placings
+from ebonytally.load import interfaces
 from ebonytally import recorder as recorders
 
 # A request that is unanswered for longer no longer counts as load.
 REQUEST_TIMEOUT_S = 5.0
 MAX_FLOWS = 200_000
+# Caller's address and port in a flow's key, before those of the service.
+CALLER_BYTES = 6
+_ACK_MODULUS = 2**32
 
 
 @attrs.define
@@ -19,6 +23,8 @@
     :param request_ack: the caller's acknowledgement number when it sent
         its request
     :param busy_since: seconds, when the request was sent; 0 for none
+    :param last_ack: the caller's latest acknowledgement number
+    :param has_request: a request was seen whose end wasn't
     """
 
     upstream: str
@@ -26,6 +32,8 @@
     is_routed: bool
     request_ack: int = 0
     busy_since: float = 0.0
+    last_ack: int = 0
+    has_request: bool = False
 
 
 class FlowTracker:
@@ -34,10 +42,15 @@
     def __init__(
         self,
         placing: placings.Placing,
+        observers: tuple[interfaces.FlowObserver, ...],
         recorder: recorders.Recorder,
     ) -> None:
-        """Create a tracker without flows."""
+        """Create a tracker without flows.
+
+        :param observers: hear of requests and their answers
+        """
         self._placing = placing
+        self._observers = observers
         self._recorder = recorder
         self._flows: dict[bytes, _OpenFlow] = {}
 
@@ -66,34 +79,57 @@
         flow.last_at = now
         flow.is_routed = flow.is_routed or is_routed
         if flow.busy_since and packet.ack != flow.request_ack:
-            self._recorder.record_duration(
-                "first_answer", now - flow.busy_since
-            )
-            self._end_request(flow)
+            took_s = now - flow.busy_since
+            self._recorder.record_duration("first_answer", took_s)
+            self._stop_waiting(flow)
+            for observer in self._observers:
+                observer.on_answer(flow.upstream, took_s, now)
         if packet.size and not flow.busy_since:
-            flow.busy_since = now
-            flow.request_ack = packet.ack
-            self._placing.load(flow.upstream).busy += 1
+            self._begin_request(packet, flow, now)
+        flow.last_ack = packet.ack
         if packet.is_end:
-            self.close(packet.key)
+            self.close(packet.key, now)
 
-    def close(self, key: bytes) -> None:
+    def close(self, key: bytes, now: float) -> None:
         """Remove a flow and its load."""
         flow = self._flows.pop(key, None)
         if flow is None:
             return
         if flow.busy_since:
-            self._end_request(flow)
+            self._stop_waiting(flow)
+        self._end_request(key, flow, now)
         self._placing.load(flow.upstream).flows -= 1
 
     def sweep(self, idle_s: float, now: float) -> None:
         """Remove idle flows, and requests that are unanswered too long."""
         for key, flow in list(self._flows.items()):
             if flow.busy_since and now - flow.busy_since > REQUEST_TIMEOUT_S:
-                self._end_request(flow)
+                self._stop_waiting(flow)
             if now - flow.last_at > idle_s:
-                self.close(key)
+                self.close(key, now)
+
+    def _begin_request(
+        self, packet: packets.Packet, flow: _OpenFlow, now: float
+    ) -> None:
+        self._end_request(packet.key, flow, now)
+        flow.has_request = True
+        flow.busy_since = now
+        flow.request_ack = packet.ack
+        self._placing.load(flow.upstream).busy += 1
+        for observer in self._observers:
+            observer.on_request(flow.upstream, now)
+
+    def _end_request(self, key: bytes, flow: _OpenFlow, now: float) -> None:
+        """Tell the observers how much of an answer the caller has got."""
+        if not flow.has_request:
+            return
+        flow.has_request = False
+        answer_bytes = (flow.last_ack - flow.request_ack) % _ACK_MODULUS
+        for observer in self._observers:
+            observer.on_request_end(
+                flow.upstream, key[CALLER_BYTES:], answer_bytes, now
+            )
 
-    def _end_request(self, flow: _OpenFlow) -> None:
+    def _stop_waiting(self, flow: _OpenFlow) -> None:
         flow.busy_since = 0.0
         self._placing.load(flow.upstream).busy -= 1
--- /dev/null
+++ b/ebonytally/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: what to open, refuse and send elsewhere."""
