--- a/ebonytally/platform/calls.py
+++ b/ebonytally/platform/calls.py
@@ -1,6 +1,5 @@
 """Decoding of the bodies of the platform's HTTP calls."""
 
-import ipaddress
 import json
 
 import attrs
@@ -8,18 +7,19 @@
 from ebonytally.configuration import model
 from ebonytally.platform import decode
 from ebonytally.platform import packet_wire
+from ebonytally.registry import checks
 from ebonytally.registry import records
 
 _READY = "ready"
 _DRAINING = "draining"
 _IDEMPOTENT = ("safe", "download")
-# A record with its names must fit into one datagram.
-_MAX_NAME_CHARS = 128
-# Bounds far above any real value: a larger one is a unit mistaken or a
-# sentinel, and would outrank or outweigh all other upstreams.
-_MAX_BORN_MS = 10**14
-_MAX_SLOTS = 10**6
-_MAX_COLD_MS = 24 * 3600 * 1000
+# Names on the wire of the fields of an announcement.
+_WIRE_NAMES = {
+    "born_ms": "born",
+    "cold_for_s": "cold-remaining-ms",
+    "data_centre": "zone",
+    "slots": "concurrency",
+}
 # Weight of the service that a route names without a weight.
 _SOLE_WEIGHT = 1
 
@@ -126,24 +126,8 @@
         state = decode.quoted(beat.state)
         detail = f"state must be {_READY} or {_DRAINING}, got {state}"
         raise decode.DecodeError(step, decode.quoted(id_), detail)
-    _check_range(step, "concurrency", beat.concurrency, 1, _MAX_SLOTS)
-    _check_range(step, "sequence", beat.sequence, 0, None)
-    _check_range(step, "born", beat.born, 0, _MAX_BORN_MS)
-    cold_ms = beat.cold_remaining_ms
-    _check_range(step, "cold-remaining-ms", cold_ms, 0, _MAX_COLD_MS)
-    if not beat.service:
-        raise decode.DecodeError(step, "service", "must not be empty")
-    longest = max(len(name) for name in (id_, beat.service, beat.zone))
-    if longest > _MAX_NAME_CHARS:
-        detail = (
-            f"id, service and zone must have at most {_MAX_NAME_CHARS} "
-            f"chars, got one of {longest}"
-        )
-        raise decode.DecodeError(step, decode.quoted(id_), detail)
     address, port = decode.endpoint(beat.address, step)
-    if not _is_host(address):
-        raise decode.DecodeError(step, address, "must be a host's address")
-    return records.Announcement(
+    announcement = records.Announcement(
         id=id_,
         born_ms=beat.born,
         sequence=beat.sequence,
@@ -155,27 +139,18 @@
         draining=beat.state == _DRAINING,
         cold_for_s=beat.cold_remaining_ms / 1000,
     )
+    _raise_if(checks.first_error(announcement), step)
+    return announcement
 
 
-def _check_range(
-    step: str, field: str, value: float, least: int, most: int | None
-) -> None:
-    """Check a number's range.
+def _raise_if(error: checks.FieldError | None, step: str) -> None:
+    """Raise an error under the field's name on the wire.
 
-    :param most: largest value allowed, None for no limit
-    :raises DecodeError: when the number is out of range
+    :raises DecodeError: unless the error is None
     """
-    if value < least or (most is not None and value > most):
-        limit = f" and at most {most}" if most is not None else ""
-        detail = f"must be at least {least}{limit}, got {value}"
-        raise decode.DecodeError(step, field, detail)
-
-
-def _is_host(address: str) -> bool:
-    """Return whether an IPv4 address can be that of one host."""
-    parsed = ipaddress.IPv4Address(address)
-    is_this_network = parsed.packed[0] == 0
-    return not (is_this_network or parsed.is_multicast or parsed.is_reserved)
+    if error is not None:
+        field = _WIRE_NAMES.get(error.field, error.field)
+        raise decode.DecodeError(step, field, error.detail)
 
 
 def decode_deregistration(body: bytes) -> int:
@@ -187,7 +162,7 @@
     if not body.strip():
         return 0
     born = decode.structure(_json(body, step), _Deregister, step).born
-    _check_range(step, "born", born, 0, _MAX_BORN_MS)
+    _raise_if(checks.start_error(born), step)
     return born
 
 
