--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -75,6 +75,7 @@
                 service_address_of(route): route
                 for route in self._follower.view.content.routes
             }
+            self._openings.on_routes(self._routes)
             self._registry.use_services(
                 frozenset(
                     service.name
--- a/ebonytally/echo/openings.py
+++ b/ebonytally/echo/openings.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ebonytally.configuration import model
 from ebonytally.echo import cookies as cookie_lib
 from ebonytally.echo import packets
 from ebonytally.echo import placing as placings
@@ -136,6 +137,27 @@
             return self._resend(opening, opening.tried[-1])
         return self._try_next(opening, "copy", now)
 
+    def on_routes(self, routes: dict[bytes, model.Route]) -> None:
+        """Move openings whose service has lost its weight to another one.
+
+        Retries of an opening whose route was removed end.
+
+        :param routes: routes of the configuration in force, by address and
+            port as in `Packet.service_address`
+        """
+        for opening in self._openings.values():
+            route = routes.get(opening.packet.service_address)
+            targets = route.targets if route is not None else ()
+            if any(
+                target.weight and target.service == opening.service
+                for target in targets
+            ):
+                continue
+            opening.service = (
+                self._placing.service_of(route) if route is not None else ""
+            )
+            opening.exhausted = False
+
     def on_opened(self, key: bytes, id_: str, now: float) -> None:
         """End an opening, as the flow has opened at an upstream."""
         opening = self._openings.get(key)
@@ -200,13 +222,15 @@
         return [_to_upstream(chosen, opening.packet)]
 
     def _resend(self, opening: _Opening, id_: str) -> Offers:
-        """Send the latest opening packet to the same upstream again."""
+        """Send the latest opening packet to the same upstream again.
+
+        Nothing is sent if the opening's service is no longer that of the
+        upstream.
+        """
         entry = self._registry.get(id_)
-        return (
-            []
-            if entry is None
-            else [_to_upstream(entry.record, opening.packet)]
-        )
+        if entry is None or entry.record.service != opening.service:
+            return []
+        return [_to_upstream(entry.record, opening.packet)]
 
     def _count_silence(
         self, opening: _Opening, trigger: str, now: float
--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -88,16 +88,18 @@
     def service_of(self, route: model.Route) -> str:
         """Return one of a route's services, at random by weight.
 
-        Services without an eligible upstream are left out; if all are,
-        the first is returned.
+        A service of weight 0 is never returned. Services without an
+        eligible upstream are left out; if all are, the first one with a
+        weight is returned, "" if there is none.
         """
+        weighted = [target for target in route.targets if target.weight]
         eligible = [
             target
-            for target in route.targets
-            if target.weight and self._find_candidates(target.service)
+            for target in weighted
+            if self._find_candidates(target.service)
         ]
         if not eligible:
-            return route.targets[0].service
+            return weighted[0].service if weighted else ""
         if len(eligible) == 1:
             return eligible[0].service
         weights = [target.weight for target in eligible]
