--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -43,6 +43,8 @@
 
     :param start: start number of its process, 0 if unknown
     :param revision: revision of its registry up to which all is known
+    :param stops_revision: revision up to which all is known except for
+        upstreams that are ready
     :param poll_number: number of the last poll
     :param answered_number: number of the last poll that was answered
     :param unanswered: number of polls since the last answer
@@ -54,6 +56,7 @@
 
     start: int = 0
     revision: int = 0
+    stops_revision: int = 0
     poll_number: int = 0
     answered_number: int = 0
     unanswered: int = 0
@@ -307,7 +310,9 @@
             )
         control_vm.in_touch = msg.in_touch
         control_vm.start = msg.start
-        control_vm.revision = msg.revision
+        control_vm.stops_revision = msg.revision
+        if not msg.partial:
+            control_vm.revision = msg.revision
         control_vm.is_complete = control_vm.is_complete or not msg.more
         self.view = attrs.evolve(
             self.view,
@@ -425,9 +430,21 @@
             self.view.out_revision,
             name == self._primary,
             self._registry.digest(),
+            self._followed(name, now),
+            control_vm.stops_revision,
         )
         return actions.Send(name, poll)
 
+    def _followed(self, polled: str, now: float) -> str:
+        """Return the control VM that tells what a polled one may leave out.
+
+        Return "" if the polled one must tell all.
+        """
+        primary = self._primary
+        if polled == primary or not self.is_complete():
+            return ""
+        return "" if self._must_replace(primary, now) else primary
+
     def _request_change(
         self,
         peer: str,
--- a/ebonytally/feed/messages.py
+++ b/ebonytally/feed/messages.py
@@ -19,6 +19,10 @@
     :param primary: the entry VM mainly follows this control VM
     :param digest: digest of the entry VM's registry; one that is equal
         needs no records
+    :param follows: control VM that the entry VM mainly follows and that
+        tells it of upstreams that are ready, "" if this one must
+    :param stops_revision: revision of the polled control VM's registry up
+        to which all is known except for upstreams that are ready
     """
 
     poll_number: int
@@ -28,6 +32,8 @@
     out_revision: int
     primary: bool
     digest: int = 0
+    follows: str = ""
+    stops_revision: int = 0
 
 
 @wire.message(641)
@@ -45,6 +51,7 @@
     :param control_vms: names of all known control VMs, itself included
     :param in_touch: it follows a leader, or is one
     :param entry_vms: approximate number of entry VMs
+    :param partial: upstreams that are ready were left out
     """
 
     poll_number: int
@@ -59,6 +66,7 @@
     control_vms: tuple[str, ...]
     in_touch: bool
     entry_vms: int
+    partial: bool = False
 
 
 @wire.message(642)
--- a/ebonytally/feed/server.py
+++ b/ebonytally/feed/server.py
@@ -1,6 +1,7 @@
 """Server of the feed: a control VM answers the polls of entry VMs."""
 
 import collections
+from collections.abc import Iterable
 
 from ebonytally import actions
 from ebonytally.configuration import machine as machines
@@ -86,12 +87,18 @@
         in_touch: bool,
         entry_vms: int,
         now: float,
+        heard: frozenset[str] = frozenset(),
     ) -> list[actions.Action]:
         """Answer a poll.
 
+        An entry VM gets upstreams that are ready from the control VM that
+        it follows, if that one is heard here. What must be stopped, it
+        gets from all.
+
         :param control_vms: names of all known control VMs
         :param in_touch: this control VM follows a leader, or is one
         :param entry_vms: approximate number of entry VMs
+        :param heard: other control VMs that are heard
         """
         self._polled_at[peer] = now
         if msg.primary:
@@ -99,19 +106,25 @@
         else:
             self._follower_polled_at.pop(peer, None)
         self._keep_configuration()
-        since = msg.revision if msg.start == self._start else 0
-        changed: list[registries.Entry] = []
-        if msg.digest != self._registry.digest():
+        is_partial = msg.follows in heard
+        since = msg.stops_revision if is_partial else msg.revision
+        if msg.start != self._start:
+            since = 0
+        changed: Iterable[registries.Entry] = ()
+        if msg.digest == self._registry.digest():
+            is_partial = False
+        else:
             changed = self._registry.changed_since(since)
+        if is_partial:
+            changed = (entry for entry in changed if not _is_ready(entry))
         state = self._machine.state
         out = state.out if state.out_revision != msg.out_revision else None
         room_bytes = UPDATE_BYTES - UPDATE_HEAD_BYTES
         room_bytes -= _packed_bytes((*control_vms, *(out or ())))
-        sent = self._first_records(changed, room_bytes, now)
-        more = len(changed) > len(sent)
-        revision = self._registry.revision
-        if more:
-            revision = changed[len(sent) - 1].revision
+        sent, revision = self._first_records(changed, room_bytes, now)
+        more = revision is not None
+        if revision is None:
+            revision = self._registry.revision
         update = messages.Update(
             msg.poll_number,
             self._start,
@@ -125,28 +138,36 @@
             control_vms,
             in_touch,
             entry_vms,
+            is_partial,
         )
         return [actions.Send(peer, update)]
 
     def _first_records(
         self,
-        entries: list[registries.Entry],
+        entries: Iterable[registries.Entry],
         room_bytes: int,
         now: float,
-    ) -> tuple[records.Record, ...]:
+    ) -> tuple[tuple[records.Record, ...], int | None]:
         """Return the records of the first entries, as many as fit.
 
         The first one is returned even if it doesn't fit: without it the
         entry VM would never get the ones after it.
+
+        :return: the records, and the revision of the last one if further
+            ones didn't fit, else None
         """
         sent: list[records.Record] = []
+        revision = 0
         for entry in entries:
             record = self._registry.to_record(entry, now)
-            room_bytes -= len(wire.pack(record))
+            if not entry.size_bytes:
+                entry.size_bytes = len(wire.pack(record))
+            room_bytes -= entry.size_bytes
             if sent and room_bytes < 0:
-                break
+                return tuple(sent), revision
             sent.append(record)
-        return tuple(sent)
+            revision = entry.revision
+        return tuple(sent), None
 
     def handle_part_wanted(
         self,
@@ -207,6 +228,10 @@
         return content
 
 
+def _is_ready(entry: registries.Entry) -> bool:
+    return entry.record.state == records.State.READY
+
+
 def _packed_bytes(names: tuple[str, ...]) -> int:
     """Return the bytes that names take in a frame, up to 255 each."""
     return sum(len(name.encode()) + 2 for name in names)
--- a/ebonytally/peers.py
+++ b/ebonytally/peers.py
@@ -61,6 +61,7 @@
         self._cfg = cfg
         self._stack = stack
         self._client: grpc_bridge.Client | None = None
+        self._encoded: tuple[object, bytes] = (None, b"")
         if not large_after_s:
             self._open_grpc()
             return
@@ -88,7 +89,10 @@
         if address is None:
             self._recorder.count_refusal(reasons.Refusal.FRAME_UNKNOWN_PEER)
             return
-        frame = self._datagrams.encode(msg)
+        # The same message often goes to all control VMs.
+        if self._encoded[0] is not msg:
+            self._encoded = (msg, self._datagrams.encode(msg))
+        frame = self._encoded[1]
         kind = wire.kind_of(msg)
         if self._is_datagram(kind, len(frame)):
             size = len(frame) + peer_datagrams.OVERHEAD_BYTES
--- a/ebonytally/registry/records.py
+++ b/ebonytally/registry/records.py
@@ -39,6 +39,7 @@
     cold_for_s: float
 
 
+@wire.flat
 @attrs.frozen
 class Record:
     """An upstream as VMs describe it to each other.
--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -1,6 +1,6 @@
 """Registry of one VM: merges announcements and records of other VMs."""
 
-import collections
+from collections.abc import Iterator
 import functools
 import operator
 
@@ -10,6 +10,7 @@
 from ebonytally import events
 from ebonytally import recorder as recorders
 from ebonytally.registry import addresses
+from ebonytally.registry import changes
 from ebonytally.registry import moves
 from ebonytally.registry import records
 
@@ -43,6 +44,7 @@
     :param sequence: that of the newest announcement known here
     :param revision: revision of the registry at the last change
     :param receiver: control VM that receives its announcements
+    :param size_bytes: size of the packed record, 0 if not known yet
     """
 
     record: records.Record
@@ -51,6 +53,7 @@
     sequence: int
     revision: int
     receiver: str
+    size_bytes: int = 0
 
 
 class Registry:
@@ -80,10 +83,8 @@
         self._data_centres = data_centres
         # None without a configuration: then all services count as known.
         self._services: frozenset[str] | None = None
-        # Ordered by revision, least recently changed first.
-        self._entries: collections.OrderedDict[str, Entry] = (
-            collections.OrderedDict()
-        )
+        self._entries: dict[str, Entry] = {}
+        self._changes = changes.Changes()
         # Upstreams that are gone are not in it.
         self._addresses = addresses.AddressIndex()
         # Ids of the upstreams that are silent or gone, in order of change.
@@ -137,19 +138,18 @@
             if _bucket_of(id_) in buckets
         ]
 
-    def changed_since(self, revision: int) -> list[Entry]:
+    def changed_since(self, revision: int) -> Iterator[Entry]:
         """Return the entries changed since a revision, oldest first."""
-        changed = []
-        for entry in reversed(self._entries.values()):
-            if entry.revision <= revision:
-                break
-            changed.append(entry)
-        changed.reverse()
-        return changed
+        for changed_at, id_ in self._changes.since(revision):
+            entry = self._entries.get(id_)
+            if entry is not None and entry.revision == changed_at:
+                yield entry
 
     def to_record(self, entry: Entry, now: float) -> records.Record:
         """Return the record to send to other VMs at `now`."""
         cold_for_s = round(max(0.0, entry.cold_until - now), 3)
+        if not cold_for_s and entry.receiver == entry.record.source:
+            return entry.record
         return attrs.evolve(
             entry.record, cold_for_s=cold_for_s, source=entry.receiver
         )
@@ -183,6 +183,7 @@
             return
         entry.sequence = sequence
         entry.receiver = peer
+        entry.size_bytes = 0
         entry.heard_at = now
         self._moves.discard(id_)
 
@@ -227,6 +228,7 @@
         if was == self._local_vm:
             return None
         entry.receiver = self._local_vm
+        entry.size_bytes = 0
         if was in self._lost_sources:
             return self._tell_heard(entry, now)
         id_ = entry.record.id
@@ -323,6 +325,10 @@
             entry = self._entries[id_]
             if now - entry.heard_at >= self._limits.keep_s:
                 self._remove(entry)
+        if self._changes.is_long(len(self._entries)):
+            self._changes.compact(
+                {id_: entry.revision for id_, entry in self._entries.items()}
+            )
 
     def _mark_silent(self, entry: Entry, now: float) -> Entry:
         """Mark an upstream silent, or gone if its address is taken."""
@@ -404,7 +410,7 @@
             entry.receiver = old.receiver
         self._moves.discard(record.id)
         self._entries[record.id] = entry
-        self._entries.move_to_end(record.id)
+        self._changes.add(self.revision, record.id)
         if record.state in ENDED_STATES:
             self._ended[record.id] = None
         else:
--- a/ebonytally/wire.py
+++ b/ebonytally/wire.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import hmac
+import operator
 from typing import Any
 from typing import TypeVar
 
@@ -62,6 +63,16 @@
     return register
 
 
+def flat(cls: type[_T]) -> type[_T]:
+    """Encode an attrs class faster, whose fields are all plain values.
+
+    The encoding is the same. For classes that are encoded very often.
+    """
+    names = [field.name for field in attrs.fields(cls)]
+    _converter.register_unstructure_hook(cls, operator.attrgetter(*names))
+    return cls
+
+
 def register_union(alias: Any) -> None:
     """Encode fields of a union type as ``(kind, fields)``.
 
