--- a/ebonytally/registry/gossip.py
+++ b/ebonytally/registry/gossip.py
@@ -22,6 +22,9 @@
 # messages may wait in its sockets.
 MAX_TICK_GAP_S = 0.5
 RECORDS_PER_MESSAGE = 8
+# A comparison with a peer may lead to all records. While many upstreams
+# start, all registries differ, and so many can be sent besides other work.
+MAX_COMPARED_PER_S = 3000
 # With ids of up to 16 bytes they fit into a datagram.
 MOVES_PER_MESSAGE = 32
 
@@ -62,6 +65,7 @@
         self._peers: dict[str, _Peer] = {}
         self._resends: list[tuple[float, str]] = []
         self._digest_at = 0.0
+        self._compare_from = 0.0
         self._ticked_at: float | None = None
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -235,6 +239,9 @@
         peer.differing_digests += 1
         if peer.differing_digests < DIFFERING_DIGESTS:
             return []
+        if now < self._compare_from:
+            return []
+        self._compare_from = now + len(self._registry) / MAX_COMPARED_PER_S
         peer.differing_digests = 0
         self._recorder.log_event(
             events.Event.REGISTERS_DIFFER,
--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -1,9 +1,12 @@
 """Work of control VMs in large fleets: who sends what, and at what cost."""
 
 from ebonytally.feed import messages
+from ebonytally import recorder as recorders
 from ebonytally.registry import changes
+from ebonytally.registry import gossip
 from ebonytally.registry import records
 from tests import echo_harness
+from tests import test_registry as registry_tests
 
 STATE = records.State
 
@@ -129,3 +132,26 @@
             log.compact(latest)
     assert len(log._ids) <= 2 * 10 + changes.MAX_SUPERSEDED
     assert [n for n, _ in log.since(4990)] == list(range(4991, 5001))
+
+
+def test_registries_of_starting_upstreams_are_compared_seldom():
+    """All registries differ for as long as upstreams start.
+
+    Each comparison with one of five peers led to all records.
+    """
+    registry = registry_tests.make_registry()
+    for number in range(3000):
+        address = f"10.0.{number >> 8}.{number & 255}"
+        registry_tests.announce(
+            registry, 0.0, id=f"i-{number}", address=address
+        )
+    exchange = gossip.RegistryGossip(
+        "c1", (), registry, recorders.MemoryRecorder()
+    )
+    compared = 0
+    for step in range(20):
+        for number in range(2, 7):
+            msg = records.Digest(number, 0, "")
+            out = exchange.handle(f"c{number}", msg, step * 0.5)
+            compared += len(out)
+    assert compared <= 11
