--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -192,6 +192,8 @@
         self._update_services()
         if isinstance(msg, feed_messages.PartWanted):
             return self._source.handle_part_wanted(peer, msg)
+        if isinstance(msg, feed_messages.RecordsWanted):
+            return self._source.handle_records_wanted(peer, msg, now)
         return self.exchange.handle(peer, msg, now)
 
     def tick(self, now: float, wall: float) -> list[actions.Action]:
--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -8,8 +8,8 @@
 from ebonytally.feed import change_fetch
 from ebonytally.feed import changes
 from ebonytally.feed import messages
+from ebonytally.feed import silences
 from ebonytally import recorder as recorders
-from ebonytally.registry import records
 from ebonytally.registry import registry as registries
 
 # A drained upstream, a change or an evacuation must be known here within
@@ -126,9 +126,7 @@
         self._polls_sent = 0
         self._fetch: change_fetch.ChangeFetch | None = None
         self._newest_version = 0
-        # Silences that the control VM which heard the upstream hasn't
-        # confirmed, and who told them, by upstream id.
-        self._unconfirmed: dict[str, tuple[str, records.Record]] = {}
+        self._silences = silences.Silences(registry, self)
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds by those of changed settings."""
@@ -162,9 +160,26 @@
             for control_vm in self._control_vms.values()
         )
 
+    def is_heard(self, name: str, now: float) -> bool:
+        """Return whether a control VM has answered within a round of polls."""
+        control_vm = self._control_vms.get(name)
+        if control_vm is None or control_vm.is_overdue(now):
+            return False
+        round_s = OTHER_POLL_INTERVAL_S * len(self._control_vms)
+        return now - control_vm.answered_at <= round_s + SILENCE_MARGIN_S
+
+    def is_in_touch(self, name: str) -> bool:
+        """Return whether a control VM follows a leader, or is one."""
+        control_vm = self._control_vms.get(name)
+        return control_vm is not None and control_vm.in_touch
+
+    def start_of(self, name: str) -> int:
+        """Return the start number of a control VM's process, 0 if unknown."""
+        control_vm = self._control_vms.get(name)
+        return control_vm.start if control_vm is not None else 0
+
     def tick(self, now: float) -> list[actions.Action]:
         """Choose the primary if needed; return the polls that are due."""
-        self._merge_unconfirmed(now)
         out: list[actions.Action] = []
         if not self._primary or self._must_replace(self._primary, now):
             self._choose_primary(now)
@@ -178,6 +193,10 @@
         if now - self._others_polled_at >= OTHER_POLL_INTERVAL_S:
             self._others_polled_at = now
             out += self._poll_next_other(now)
+        doubtful = self._silences.tick(now)
+        if doubtful and not self._must_replace(self._primary, now):
+            wanted = messages.RecordsWanted(doubtful)
+            out.append(actions.Send(self._primary, wanted))
         if self._fetch is not None:
             if self._fetch.is_abandoned(now):
                 self._fetch = None
@@ -206,6 +225,10 @@
             return self._handle_update(peer, msg, now)
         if isinstance(msg, messages.Part):
             return self._handle_part(peer, msg, now)
+        if isinstance(msg, messages.Records) and peer in self._control_vms:
+            for record in msg.records:
+                self._silences.merge(peer, record, now)
+            return []
         if isinstance(msg, messages.Started):
             return self._handle_started(peer, now)
         return []
@@ -233,7 +256,7 @@
         self._record_answer(peer, control_vm, msg, now)
         self._newest_version = max(self._newest_version, msg.version)
         for record in msg.records:
-            self._merge(peer, record, now)
+            self._silences.merge(peer, record, now)
         self._apply_evacuations(peer, msg)
         if peer == self._primary or not self.is_complete():
             self._set_control_vms(msg.control_vms)
@@ -244,45 +267,6 @@
             out += self._request_change(peer, msg.version, now)
         return out
 
-    def _merge(self, peer: str, record: records.Record, now: float) -> None:
-        """Merge a record, or keep it back if it is an unconfirmed silence."""
-        if self._is_unconfirmed(peer, record, now):
-            self._unconfirmed[record.id] = (peer, record)
-            return
-        self._unconfirmed.pop(record.id, None)
-        self._registry.merge(record, now)
-
-    def _merge_unconfirmed(self, now: float) -> None:
-        """Merge silences whose upstreams nobody that is heard may hear."""
-        for peer, record in list(self._unconfirmed.values()):
-            self._merge(peer, record, now)
-
-    def _is_unconfirmed(
-        self, peer: str, record: records.Record, now: float
-    ) -> bool:
-        """Return whether an upstream may be silent to one control VM only.
-
-        A control VM that is cut off from the others takes the upstreams
-        that announce themselves to them for silent. The control VM that
-        heard an upstream decides, as long as it answers here.
-        """
-        if record.state != records.State.SILENT:
-            return False
-        if record.lost in ("", peer):
-            return False
-        entry = self._registry.get(record.id)
-        if entry is None or record.rank <= entry.record.rank:
-            return False
-        return self._is_heard(record.lost, now)
-
-    def _is_heard(self, name: str, now: float) -> bool:
-        """Return whether a control VM has answered within a round of polls."""
-        control_vm = self._control_vms.get(name)
-        if control_vm is None or control_vm.is_overdue(now):
-            return False
-        round_s = OTHER_POLL_INTERVAL_S * len(self._control_vms)
-        return now - control_vm.answered_at <= round_s + SILENCE_MARGIN_S
-
     def _record_answer(
         self,
         peer: str,
--- a/ebonytally/feed/messages.py
+++ b/ebonytally/feed/messages.py
@@ -110,3 +110,19 @@
     """
 
     start: int
+
+
+@wire.message(645)
+@attrs.frozen
+class RecordsWanted:
+    """Ask a control VM what it knows of some upstreams."""
+
+    ids: tuple[str, ...]
+
+
+@wire.message(646)
+@attrs.frozen
+class Records:
+    """Answer `RecordsWanted` with the records that are known."""
+
+    records: tuple[records.Record, ...]
--- a/ebonytally/feed/server.py
+++ b/ebonytally/feed/server.py
@@ -169,6 +169,21 @@
             revision = entry.revision
         return tuple(sent), None
 
+    def handle_records_wanted(
+        self, peer: str, msg: messages.RecordsWanted, now: float
+    ) -> list[actions.Action]:
+        """Return the records of some upstreams, in several datagrams."""
+        entries = [self._registry.get(id_) for id_ in msg.ids]
+        known = [entry for entry in entries if entry is not None]
+        out: list[actions.Action] = []
+        while known:
+            sent, _ = self._first_records(
+                known, UPDATE_BYTES - UPDATE_HEAD_BYTES, now
+            )
+            out.append(actions.Send(peer, messages.Records(sent)))
+            known = known[len(sent) :]
+        return out
+
     def handle_part_wanted(
         self,
         peer: str,
--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -45,6 +45,7 @@
     :param revision: revision of the registry at the last change
     :param receiver: control VM that receives its announcements
     :param size_bytes: size of the packed record, 0 if not known yet
+    :param silenced: of a silent upstream, its record before
     """
 
     record: records.Record
@@ -54,6 +55,7 @@
     revision: int
     receiver: str
     size_bytes: int = 0
+    silenced: records.Record | None = None
 
 
 class Registry:
@@ -289,6 +291,25 @@
         cold_until = now + record.cold_for_s
         return self._store(record, cold_until, now, "told")
 
+    def withdraw_silence(self, record: records.Record, now: float) -> None:
+        """Replace a silence that no control VM stands by any more.
+
+        :param record: what a control VM tells instead; a draining upstream
+            stays so if that control VM hasn't heard of it
+        """
+        entry = self._entries.get(record.id)
+        if entry is None or entry.record.state != records.State.SILENT:
+            return
+        if entry.record.born_ms != record.born_ms:
+            return
+        before = entry.silenced
+        if before is not None and before.rank > record.rank:
+            record = before
+        cold_until = max(entry.cold_until, now + record.cold_for_s)
+        withdrawn = self._store(record, cold_until, now, "not silent")
+        # Only announcements that the silence counted were later.
+        withdrawn.sequence = record.sequence
+
     def mark_silent_upstreams(
         self,
         heard: frozenset[str],
@@ -331,12 +352,16 @@
             )
 
     def _mark_silent(self, entry: Entry, now: float) -> Entry:
-        """Mark an upstream silent, or gone if its address is taken."""
+        """Mark an upstream silent, or gone if its address is taken.
+
+        Only the control VM that heard it may mark it gone, which no later
+        announcement could take back.
+        """
         heard_at = entry.heard_at
+        lost = entry.receiver if entry.receiver != self._local_vm else ""
         state, why = records.State.SILENT, "silent"
-        if self._is_address_taken(entry.record):
+        if not lost and self._is_address_taken(entry.record):
             state, why = records.State.GONE, ADDRESS_TAKEN
-        lost = entry.receiver if entry.receiver != self._local_vm else ""
         ended_entry = self._change_state(entry, state, now, why, lost)
         ended_entry.heard_at = heard_at
         return ended_entry
@@ -408,6 +433,9 @@
         if _is_known_later(old, record):
             entry.sequence = old.sequence
             entry.receiver = old.receiver
+        if old is not None and record.state == records.State.SILENT:
+            is_silent = old.record.state == records.State.SILENT
+            entry.silenced = old.silenced if is_silent else old.record
         self._moves.discard(record.id)
         self._entries[record.id] = entry
         self._changes.add(self.revision, record.id)
--- a/ebonytally/registry/registry_store.py
+++ b/ebonytally/registry/registry_store.py
@@ -73,7 +73,12 @@
         is_fresh = abs(wall - saved.wall) <= MAX_FRESH_AGE_S
         for record in saved.records:
             if not is_fresh and record.state != records.State.GONE:
-                record = attrs.evolve(record, state=records.State.SILENT)
+                # Those that announce themselves elsewhere aren't silent.
+                record = attrs.evolve(
+                    record,
+                    state=records.State.SILENT,
+                    lost=record.source,
+                )
             self._registry.merge(record, now)
         self._revision = self._registry.revision
         self._entry_vms = saved.entry_vms
--- a/tests/echo_harness.py
+++ b/tests/echo_harness.py
@@ -90,6 +90,8 @@
             return self.source.handle_poll(
                 peer, msg, self.names, self.in_touch, 1, now
             )
+        if isinstance(msg, messages.RecordsWanted):
+            return self.source.handle_records_wanted(peer, msg, now)
         return self.source.handle_part_wanted(peer, msg)
 
 
