--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -187,10 +187,13 @@
                 self.agreement.has_leader_contact(now, LEADER_TIMEOUT_S),
                 self.exchange.count_entry_vms(self._followers, now),
                 now,
+                frozenset(self.exchange.live_peers(now)),
             )
         self._update_services()
         if isinstance(msg, feed_messages.PartWanted):
             return self._source.handle_part_wanted(peer, msg)
+        if isinstance(msg, feed_messages.RecordsWanted):
+            return self._source.handle_records_wanted(peer, msg, now)
         return self.exchange.handle(peer, msg, now)
 
     def tick(self, now: float, wall: float) -> list[actions.Action]:
--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -8,8 +8,8 @@
 from ebonytally.feed import change_fetch
 from ebonytally.feed import changes
 from ebonytally.feed import messages
+from ebonytally.feed import silences
 from ebonytally import recorder as recorders
-from ebonytally.registry import records
 from ebonytally.registry import registry as registries
 
 # A drained upstream, a change or an evacuation must be known here within
@@ -43,6 +43,8 @@
 
     :param start: start number of its process, 0 if unknown
     :param revision: revision of its registry up to which all is known
+    :param stops_revision: revision up to which all is known except for
+        upstreams that are ready
     :param poll_number: number of the last poll
     :param answered_number: number of the last poll that was answered
     :param unanswered: number of polls since the last answer
@@ -54,6 +56,7 @@
 
     start: int = 0
     revision: int = 0
+    stops_revision: int = 0
     poll_number: int = 0
     answered_number: int = 0
     unanswered: int = 0
@@ -123,9 +126,7 @@
         self._polls_sent = 0
         self._fetch: change_fetch.ChangeFetch | None = None
         self._newest_version = 0
-        # Silences that the control VM which hears the upstream hasn't
-        # confirmed, by upstream id.
-        self._unconfirmed: dict[str, records.Record] = {}
+        self._silences = silences.Silences(registry, self)
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds by those of changed settings."""
@@ -159,9 +160,26 @@
             for control_vm in self._control_vms.values()
         )
 
+    def is_heard(self, name: str, now: float) -> bool:
+        """Return whether a control VM has answered within a round of polls."""
+        control_vm = self._control_vms.get(name)
+        if control_vm is None or control_vm.is_overdue(now):
+            return False
+        round_s = OTHER_POLL_INTERVAL_S * len(self._control_vms)
+        return now - control_vm.answered_at <= round_s + SILENCE_MARGIN_S
+
+    def is_in_touch(self, name: str) -> bool:
+        """Return whether a control VM follows a leader, or is one."""
+        control_vm = self._control_vms.get(name)
+        return control_vm is not None and control_vm.in_touch
+
+    def start_of(self, name: str) -> int:
+        """Return the start number of a control VM's process, 0 if unknown."""
+        control_vm = self._control_vms.get(name)
+        return control_vm.start if control_vm is not None else 0
+
     def tick(self, now: float) -> list[actions.Action]:
         """Choose the primary if needed; return the polls that are due."""
-        self._merge_unconfirmed(now)
         out: list[actions.Action] = []
         if not self._primary or self._must_replace(self._primary, now):
             self._choose_primary(now)
@@ -175,6 +193,10 @@
         if now - self._others_polled_at >= OTHER_POLL_INTERVAL_S:
             self._others_polled_at = now
             out += self._poll_next_other(now)
+        doubtful = self._silences.tick(now)
+        if doubtful and not self._must_replace(self._primary, now):
+            wanted = messages.RecordsWanted(doubtful)
+            out.append(actions.Send(self._primary, wanted))
         if self._fetch is not None:
             if self._fetch.is_abandoned(now):
                 self._fetch = None
@@ -203,6 +225,10 @@
             return self._handle_update(peer, msg, now)
         if isinstance(msg, messages.Part):
             return self._handle_part(peer, msg, now)
+        if isinstance(msg, messages.Records) and peer in self._control_vms:
+            for record in msg.records:
+                self._silences.merge(peer, record, now)
+            return []
         if isinstance(msg, messages.Started):
             return self._handle_started(peer, now)
         return []
@@ -230,7 +256,7 @@
         self._record_answer(peer, control_vm, msg, now)
         self._newest_version = max(self._newest_version, msg.version)
         for record in msg.records:
-            self._merge(record, now)
+            self._silences.merge(peer, record, now)
         self._apply_evacuations(peer, msg)
         if peer == self._primary or not self.is_complete():
             self._set_control_vms(msg.control_vms)
@@ -241,38 +267,6 @@
             out += self._request_change(peer, msg.version, now)
         return out
 
-    def _merge(self, record: records.Record, now: float) -> None:
-        """Merge a record, or keep it back if it is an unconfirmed silence."""
-        if self._is_unconfirmed(record, now):
-            self._unconfirmed[record.id] = record
-            return
-        self._unconfirmed.pop(record.id, None)
-        self._registry.merge(record, now)
-
-    def _merge_unconfirmed(self, now: float) -> None:
-        """Merge silences whose upstreams nobody that is heard may hear."""
-        for record in list(self._unconfirmed.values()):
-            self._merge(record, now)
-
-    def _is_unconfirmed(self, record: records.Record, now: float) -> bool:
-        """Return whether an upstream may be silent to one control VM only.
-
-        A control VM that is cut off from the others takes the upstreams
-        that announce themselves to them for silent. The control VM that
-        hears an upstream decides, as long as it answers here.
-        """
-        entry = self._registry.get(record.id)
-        if record.state != records.State.SILENT or entry is None:
-            return False
-        known = entry.record
-        if record.rank <= known.rank or known.source == record.source:
-            return False
-        source = self._control_vms.get(known.source)
-        if source is None or source.is_overdue(now):
-            return False
-        round_s = OTHER_POLL_INTERVAL_S * len(self._control_vms)
-        return now - source.answered_at <= round_s + SILENCE_MARGIN_S
-
     def _record_answer(
         self,
         peer: str,
@@ -300,7 +294,9 @@
             )
         control_vm.in_touch = msg.in_touch
         control_vm.start = msg.start
-        control_vm.revision = msg.revision
+        control_vm.stops_revision = msg.revision
+        if not msg.partial:
+            control_vm.revision = msg.revision
         control_vm.is_complete = control_vm.is_complete or not msg.more
         self.view = attrs.evolve(
             self.view,
@@ -418,9 +414,21 @@
             self.view.out_revision,
             name == self._primary,
             self._registry.digest(),
+            self._followed(name, now),
+            control_vm.stops_revision,
         )
         return actions.Send(name, poll)
 
+    def _followed(self, polled: str, now: float) -> str:
+        """Return the control VM that tells what a polled one may leave out.
+
+        Return "" if the polled one must tell all.
+        """
+        primary = self._primary
+        if polled == primary or not self.is_complete():
+            return ""
+        return "" if self._must_replace(primary, now) else primary
+
     def _request_change(
         self,
         peer: str,
