--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -8,9 +8,12 @@
 from ebonytally.agreement import control_runner
 from ebonytally.configuration import machine as machines
 from ebonytally import deployment as deployments
+from ebonytally.echo import cookies
 from ebonytally.feed import messages as feed_messages
 from ebonytally.feed import server
 from ebonytally.feed import start_notifier
+from ebonytally.load import figures
+from ebonytally.load import load_server
 from ebonytally import ports
 from ebonytally import recorder as recorders
 from ebonytally.registry import gossip
@@ -29,6 +32,7 @@
 MIN_VOTERS = 3
 MAX_VOTERS = 7
 _CONSENSUS_KINDS = range(100, 200)
+_LOAD_KINDS = range(660, 670)
 
 
 class ControlNode:
@@ -93,6 +97,11 @@
         self._start_notifier = start_notifier.StartNotifier(
             entry_vms, start, now
         )
+        self._cookies = cookies.Cookies(self.registry, recorder)
+        self._load = load_server.LoadServer(
+            figures.Checks(deployment.data_centres, recorder),
+            self._service_of,
+        )
         # Counted at each tick: there are more polls than ticks.
         self._followers = 0
         self._token_count = 0
@@ -189,6 +198,8 @@
                 now,
             )
         self._update_services()
+        if kind in _LOAD_KINDS:
+            return self._load.handle(peer, msg, now)
         if isinstance(msg, feed_messages.PartWanted):
             return self._source.handle_part_wanted(peer, msg)
         return self.exchange.handle(peer, msg, now)
@@ -215,6 +226,9 @@
             self.agreement.leader,
             now,
         )
+        self._cookies.update()
+        self._cookies.sweep()
+        actions_ += self._load.tick(self.exchange.live_peers(now), now)
         return actions_ + self._start_notifier.tick(now)
 
     def stop(self, now: float) -> list[actions.Action]:
@@ -235,7 +249,14 @@
         ):
             return
         self._services_version = configuration.version
-        self.registry.use_services(configuration.service_names())
+        services = configuration.service_names()
+        self.registry.use_services(services)
+        self._load.use_services(services)
+
+    def _service_of(self, cookie: int) -> str | None:
+        """Return the service of an upstream's cookie, None if unknown."""
+        entry = self._cookies.entry(cookie)
+        return None if entry is None else entry.record.service
 
     def _save_registry(
         self,
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -6,6 +6,9 @@
 from ebonytally.echo import packets
 from ebonytally.echo import placing
 from ebonytally.feed import follower
+from ebonytally.load import demand
+from ebonytally.load import figures
+from ebonytally.load import shared_load
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -43,11 +46,22 @@
             deployment.cfg.data_centre,
             seed,
         )
+        meter = demand.DemandMeter(self._registry)
+        self.shared_load = shared_load.EntryLoad(
+            self.follower,
+            meter,
+            None,
+            deployment.cfg.data_centre,
+            figures.Checks(deployment.data_centres, recorder),
+            recorder,
+            seed,
+        )
         self.forwarder = forwarder.Forwarder(
             self._registry,
             self.follower,
             placement,
             recorder,
+            (meter,),
         )
         self._stopping = False
 
@@ -82,6 +96,7 @@
     ) -> list[actions.Action]:
         """Handle a message from a control VM."""
         actions_ = self.follower.handle(peer, msg, now)
+        self.shared_load.handle(peer, msg, now)
         self.forwarder.on_update()
         return actions_
 
@@ -94,4 +109,5 @@
         :return: packets to send, and messages to control VMs
         """
         self._registry.expire(now)
-        return self.forwarder.tick(now), self.follower.tick(now)
+        messages = self.follower.tick(now) + self.shared_load.tick(now)
+        return self.forwarder.tick(now), messages
--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -133,6 +133,11 @@
         for name in seeds:
             self._control_vms.setdefault(name, _ControlVm())
 
+    @property
+    def primary(self) -> str:
+        """Return the name of the mainly followed control VM, "" for none."""
+        return self._primary
+
     def is_complete(self) -> bool:
         """Return whether the view is complete enough to serve callers.
 
