--- a/ebonytally/load/figures.py
+++ b/ebonytally/load/figures.py
@@ -19,8 +19,8 @@
 MAX_SUSPICIONS = 16
 MAX_REPORTERS = 2000
 MAX_DATAGRAM_BYTES = 1100
-# Headers, tag, kind, a sender's name of up to 40 bytes, and the numbers.
-HEAD_BYTES = 120
+# Headers, tag, kind, a sender's name of up to 30 bytes, and the numbers.
+HEAD_BYTES = 100
 # An older summary isn't one that was only late on its way.
 MAX_TOLD_AGE_MS = 60_000
 # A million requests a second.
@@ -40,6 +40,7 @@
     :param suspected: by cookie
     :param data_centres: those of which an entry VM has reported
     :param age_s: age of the figures
+    :param cut_reports: number of reports that lack services
     """
 
     demand: dict[str, dict[str, float]] = attrs.field(factory=dict)
@@ -47,12 +48,17 @@
     suspected: dict[int, messages.Suspected] = attrs.field(factory=dict)
     data_centres: set[str] = attrs.field(factory=set)
     age_s: float = 0.0
+    cut_reports: int = 0
 
     @property
     def is_empty(self) -> bool:
         """Return whether there is nothing to tell."""
         return not self.demand and not self.suspected
 
+    def per_100_s(self) -> float:
+        """Return the requests in 100 s of all services."""
+        return sum(sum(rates.values()) for rates in self.demand.values())
+
     def add_demand(
         self, service: str, data_centre: str, per_100_s: float
     ) -> None:
@@ -90,6 +96,7 @@
             self.add_suspected(suspected)
         self.data_centres |= other.data_centres
         self.age_s = max(self.age_s, other.age_s)
+        self.cut_reports += other.cut_reports
 
 
 class Checks:
@@ -148,6 +155,8 @@
                 self._refuse()
         self._refuse(len(msg.demand[MAX_SERVICES:]))
         totals.suspected = self._suspicions(msg.suspicions)
+        if isinstance(msg, messages.LoadSums):
+            totals.cut_reports = max(0, min(msg.cut_reports, MAX_REPORTERS))
         totals.data_centres = {
             name for name in names if self._is_data_centre(name)
         }
@@ -159,6 +168,7 @@
         demand: messages.ServiceDemand,
         names: tuple[str, ...],
     ) -> None:
+        totals.demand[demand.service] = {}
         for name, value in zip(names, demand.per_100_s, strict=False):
             if _is_within(value, MAX_PER_100_S) and self._is_data_centre(name):
                 totals.add_demand(demand.service, name, value)
@@ -222,16 +232,25 @@
 
 
 def to_demand(
-    totals: Totals, data_centres: tuple[str, ...], limit: int
+    totals: Totals,
+    data_centres: tuple[str, ...],
+    limit: int,
+    min_per_100_s: float,
 ) -> list[messages.ServiceDemand]:
     """Return the services with the largest demand, largest first.
 
     :param data_centres: order of the rates
     :param limit: maximum number of services
+    :param min_per_100_s: those with less demand are left out
     """
+    sums = {name: sum(rates.values()) for name, rates in totals.demand.items()}
     names = sorted(
-        totals.demand,
-        key=lambda name: (-sum(totals.demand[name].values()), name),
+        (
+            name
+            for name, per_100_s in sums.items()
+            if per_100_s >= min_per_100_s
+        ),
+        key=lambda name: (-sums[name], name),
     )
     return [
         messages.ServiceDemand(
--- a/ebonytally/load/load_server.py
+++ b/ebonytally/load/load_server.py
@@ -16,12 +16,21 @@
 from ebonytally.load import messages
 
 SUMS_INTERVAL_S = 0.5
-# Two sums may be lost. Older ones would make the summary too old before the
-# next one arrives, for as long as they are kept.
-MAX_SUMS_AGE_S = 1.25
-# After a start or a pause the sums lack followers until each has reported
-# and the other control VMs have sent theirs.
-COLLECT_S = 1.25
+# Sums are 0.8 s old when the next ones come; these may be lost once. Older
+# ones would make the summary too old before the next one arrives.
+MAX_SUMS_AGE_S = 1.4
+# Sums that should have been replaced by now. While some are late, followers
+# may be in them and in newer ones.
+LATE_SUMS_S = 0.6
+# Until this age of another control VM's sums it isn't known whether its
+# followers have no demand or will be in other sums: it may be restarting, or
+# they may be choosing another primary.
+MAX_MISSING_AGE_S = 2.8
+# Demand is told if at most this part of it is missing.
+MAX_MISSING_SHARE = 0.1
+# After a start or a pause the sums lack followers until each has reported,
+# which takes up to 0.72 s, and the other control VMs have sent theirs.
+COLLECT_S = 0.75
 # The sums are computed anew at most this often, not for each report.
 SUM_AFTER_S = 0.1
 # One reporter's suspicion may come from a few slow requests by chance.
@@ -30,8 +39,14 @@
 # `MIN_SUMMARY_BYTES`. Reports come every 0.6 s.
 SUMMARIES_BYTES_S = 3000
 REPORT_INTERVAL_S = 0.6
-# Two services in eight data centres and some suspicions.
-MIN_SUMMARY_BYTES = 320
+# Two services in eight data centres and six suspicions.
+MIN_SUMMARY_BYTES = 400
+# A service is told if at least this part of the reports that lack services
+# has it: else reports that lack this one may be many.
+MIN_COVERED_SHARE = 0.8
+# Demand that is told to entry VMs. Below it the standard deviation of the
+# figure is above a quarter, and the largest ones are so by chance.
+MIN_TOLD_PER_100_S = 1000.0
 # A longer time between two ticks means that this VM was paused: reports are
 # older than they seem, and further ones wait in its socket.
 MAX_TICK_GAP_S = 0.5
@@ -71,7 +86,10 @@
         self._sums: dict[str, _Kept[figures.Totals]] = {}
         self._merged = figures.Totals()
         self._merged_at = -1e9
+        # Requests in 100 s when nothing was missing last.
+        self._complete_per_100_s = 0.0
         self._sums_sent_at = -1e9
+        self._is_last_empty = True
         self._ticked_at: float | None = None
         # Time from which the reports of all followers should be here.
         self._complete_at = float("inf")
@@ -91,7 +109,8 @@
         if isinstance(msg, messages.LoadReport):
             report = self._checks.report(msg)
             is_new = self._keep(self._reports, peer, msg.sent_ms, report, now)
-            if not is_new or now < self._complete_at:
+            is_empty = not report.demand and not report.suspicions
+            if not is_new or is_empty or now < self._complete_at:
                 return []
             return [actions.Send(peer, self._summary(msg.sent_ms, now))]
         if isinstance(msg, messages.LoadSums):
@@ -108,16 +127,18 @@
         self._drop_after_pause(now)
         self._expire(now)
         is_due = now - self._sums_sent_at >= SUMS_INTERVAL_S
-        if not self._reports or not is_due or now < self._complete_at:
+        if not is_due or now < self._complete_at:
             return []
         totals = self._own_totals(now)
-        if totals.is_empty:
+        if totals.is_empty and self._is_last_empty:
             return []
+        # Empty ones are sent once, so that the others don't wait for more.
+        self._is_last_empty = totals.is_empty
         self._sums_sent_at = now
         fields = self._fields(
-            totals, figures.MAX_SERVICES, figures.MAX_DATAGRAM_BYTES
+            totals, figures.MAX_SERVICES, figures.MAX_DATAGRAM_BYTES, 0.0
         )
-        msg = messages.LoadSums(round(now * 1000), *fields)
+        msg = messages.LoadSums(round(now * 1000), *fields, totals.cut_reports)
         return [actions.Send(name, msg) for name in peers]
 
     def _keep(
@@ -149,10 +170,8 @@
         self._sums.clear()
 
     def _expire(self, now: float) -> None:
-        for kept in (self._reports, self._sums):
-            for peer, item in list(kept.items()):
-                if now - item.at >= figures.MAX_AGE_S:
-                    del kept[peer]
+        _remove_older(self._reports, figures.MAX_AGE_S, now)
+        _remove_older(self._sums, MAX_MISSING_AGE_S, now)
 
     def _summary(self, sent_ms: int, now: float) -> messages.LoadSummary:
         if now - self._merged_at >= SUM_AFTER_S:
@@ -161,17 +180,38 @@
         size = max(MIN_SUMMARY_BYTES, min(share, figures.MAX_DATAGRAM_BYTES))
         age_s = self._merged.age_s + now - self._merged_at
         totals = attrs.evolve(self._merged, age_s=age_s)
-        fields = self._fields(totals, figures.MAX_SUMMARY_SERVICES, int(size))
-        return messages.LoadSummary(sent_ms, *fields)
+        age_ms, names, demand, suspicions = self._fields(
+            totals,
+            figures.MAX_SUMMARY_SERVICES,
+            int(size),
+            MIN_TOLD_PER_100_S,
+        )
+        least = MIN_COVERED_SHARE * totals.cut_reports
+        demand = tuple(
+            row if row.reporters >= least else attrs.evolve(row, per_100_s=())
+            for row in demand
+        )
+        return messages.LoadSummary(sent_ms, age_ms, names, demand, suspicions)
 
     def _merge(self, now: float) -> None:
-        """Add the sums of all control VMs; keep confirmed suspicions."""
+        """Add the sums of all control VMs; keep confirmed suspicions.
+
+        No demand is kept if a large part is missing, and not in the sums
+        of others by now: its data centre would seem to have room.
+        """
         self._expire(now)
         merged = self._own_totals(now)
+        missing = figures.Totals()
         for item in self._sums.values():
             age_s = item.content.age_s + now - item.at
             if age_s < MAX_SUMS_AGE_S:
                 merged.add(attrs.evolve(item.content, age_s=age_s))
+            elif age_s < MAX_MISSING_AGE_S:
+                missing.add(item.content)
+        if self._is_incomplete(merged, missing, now):
+            merged.demand = {}
+        for service, count in missing.reporters.items():
+            merged.add_reporters(service, count)
         merged.suspected = {
             cookie: suspected
             for cookie, suspected in merged.suspected.items()
@@ -180,6 +220,20 @@
         self._merged = merged
         self._merged_at = now
 
+    def _is_incomplete(
+        self, merged: figures.Totals, missing: figures.Totals, now: float
+    ) -> bool:
+        """Return whether a large part of the demand is missing."""
+        present = merged.per_100_s()
+        if (
+            missing.per_100_s() > MAX_MISSING_SHARE * present
+            and present < (1 - MAX_MISSING_SHARE) * self._complete_per_100_s
+        ):
+            return True
+        if all(now - item.at <= LATE_SUMS_S for item in self._sums.values()):
+            self._complete_per_100_s = present
+        return False
+
     def _is_confirmed(
         self, suspected: messages.Suspected, totals: figures.Totals
     ) -> bool:
@@ -199,7 +253,9 @@
         for item in self._reports.values():
             report = item.content
             ages_s.append(now - item.at)
-            totals.data_centres.add(report.data_centre)
+            totals.cut_reports += report.is_cut
+            if report.demand:
+                totals.data_centres.add(report.data_centre)
             reported = {self._service_of(s.cookie) for s in report.suspicions}
             for rate in report.demand:
                 reported.add(rate.service)
@@ -214,12 +270,17 @@
         return totals
 
     def _fields(
-        self, totals: figures.Totals, services: int, size: int
+        self,
+        totals: figures.Totals,
+        services: int,
+        size: int,
+        min_per_100_s: float,
     ) -> tuple:
         """Return the fields of a message after `sent_ms`.
 
         :param services: maximum number of services
         :param size: maximum bytes of the datagram with its headers
+        :param min_per_100_s: services with less demand are left out
         """
         names = tuple(sorted(totals.data_centres))
         names = names[: figures.MAX_DATA_CENTRES]
@@ -229,7 +290,15 @@
         # Suspicions take at most half, so that demand is told in any case.
         suspicions, left = figures.fit(worst, room // 2)
         room -= room // 2 - left
-        demand, _ = figures.fit(
-            figures.to_demand(totals, names, services), room
-        )
+        largest = figures.to_demand(totals, names, services, min_per_100_s)
+        demand, _ = figures.fit(largest, room)
         return round(totals.age_s * 1000), names, demand, suspicions
+
+
+def _remove_older(
+    kept: dict[str, _Kept[_T]], age_s: float, now: float
+) -> None:
+    """Remove what arrived longer ago than an age in seconds."""
+    for peer, item in list(kept.items()):
+        if now - item.at >= age_s:
+            del kept[peer]
--- a/ebonytally/load/messages.py
+++ b/ebonytally/load/messages.py
@@ -28,7 +28,8 @@
     """Demand for a service, by data centre.
 
     :param per_100_s: requests in 100 s, in the order of the message's
-        `data_centres`
+        `data_centres`; empty in a summary if entry VMs should report the
+        service because not all that have demand for it did
     :param reporters: number of entry VMs that have reported the service
     """
 
@@ -64,12 +65,14 @@
         repeated in the answer
     :param demand: requests of its callers by service
     :param suspicions: upstreams that it suspects, worst first
+    :param is_cut: it has demand for further services
     """
 
     sent_ms: int = 0
     data_centre: str = ""
     demand: tuple[ServiceRate, ...] = ()
     suspicions: tuple[Suspected, ...] = ()
+    is_cut: bool = False
 
 
 @wire.message(661)
@@ -101,6 +104,7 @@
     :param data_centres: those of which a follower has reported
     :param demand: services with the largest demand first
     :param suspicions: suspicions of any follower, worst first
+    :param cut_reports: number of reports that lack services
     """
 
     sent_ms: int = 0
@@ -108,3 +112,4 @@
     data_centres: tuple[str, ...] = ()
     demand: tuple[ServiceDemand, ...] = ()
     suspicions: tuple[Suspected, ...] = ()
+    cut_reports: int = 0
--- a/ebonytally/load/shared_load.py
+++ b/ebonytally/load/shared_load.py
@@ -72,7 +72,7 @@
         :return: None if it is missing or too old
         """
         rates = self._totals.demand.get(service)
-        if rates is None or not self._is_fresh(now):
+        if not rates or not self._is_fresh(now):
             return None
         return {name: rate / 100 for name, rate in rates.items()}
 
@@ -116,15 +116,21 @@
         if not primary or now < self._due_at(primary):
             return []
         self._use_view()
-        demand = self._demand(now)
+        demand, is_cut = self._demand(now)
         suspicions = self._suspicions(now)
         if not demand and not suspicions:
             return []
+        last_primary = self._reported_to
         self._on_sending(primary, now)
         report = messages.LoadReport(
-            self._sent_ms, self._data_centre, demand, suspicions
+            self._sent_ms, self._data_centre, demand, suspicions, is_cut
         )
-        return [actions.Send(primary, report)]
+        out = [actions.Send(primary, report)]
+        if last_primary not in ("", primary):
+            # Both would count this VM's demand otherwise.
+            empty = messages.LoadReport(self._sent_ms, self._data_centre)
+            out.append(actions.Send(last_primary, empty))
+        return out
 
     def _due_at(self, primary: str) -> float:
         """Return when to send a report; soon to a new primary."""
@@ -172,8 +178,10 @@
             answered=is_answered,
         )
 
-    def _demand(self, now: float) -> tuple[messages.ServiceRate, ...]:
-        """Return the demand to report, as much as fits.
+    def _demand(
+        self, now: float
+    ) -> tuple[tuple[messages.ServiceRate, ...], bool]:
+        """Return the demand to report, and whether not all of it fits.
 
         Services of the last summary come first. All entry VMs report
         these, so that their sums are complete; among hundreds of services
@@ -191,7 +199,8 @@
             for name in names[: figures.MAX_SERVICES]
         )
         # Half is left for the suspicions, which take less than that.
-        return figures.fit(items, room // 2)[0]
+        fitting, _ = figures.fit(items, room // 2)
+        return fitting, len(fitting) < len(names)
 
     def _suspicions(self, now: float) -> tuple[messages.Suspected, ...]:
         if self._capacity is None:
--- /dev/null
+++ b/tests/test_shared_load.py
@@ -0,0 +1,452 @@
+"""Shared load: figures reach all entry VMs, whatever is lost or late."""
+
+import math
+
+import attrs
+import hypothesis
+from hypothesis import strategies as st
+import msgpack
+import pytest
+
+from benches import load_model
+from ebonytally.load import demand
+from ebonytally.load import figures
+from ebonytally.load import interfaces
+from ebonytally.load import load_server
+from ebonytally.load import messages
+from ebonytally.load import shared_load
+from ebonytally import recorder as recorders
+from ebonytally import wire
+from tests import agreement_fakes as fakes
+from tests import echo_harness
+from tests import test_control_node as control_tests
+
+SERVICES = ("desk", "store")
+CENTRES = ("north", "south")
+RATE_PER_S = 40.0
+# Three entry VMs in each data centre; half of the requests for each service.
+EXPECTED = {"north": 60.0, "south": 60.0}
+WARM_UP_S = 4.0
+SLOW = interfaces.Suspicion(7, 6.0, 0.25)
+RATE = messages.ServiceRate
+
+
+def make_site(rate_per_s=RATE_PER_S, control_vms=3, **change):
+    site = load_model.Site(
+        control_vms, 6, CENTRES, SERVICES, rate_per_s, **change
+    )
+    site.service_of[SLOW.cookie] = "desk"
+    site.run(WARM_UP_S)
+    return site
+
+
+def told(site, service="desk"):
+    """Return the demand that each entry VM was told of."""
+    return [
+        vm.load.demand_per_s(service, site.now) for vm in site.entry.values()
+    ]
+
+
+def run_checked(site, seconds, low=0.6, high=1.5):
+    """Run; check all figures at each tick; return the share that is known.
+
+    A sum without some of the reports would let the others take this data
+    centre for idle.
+    """
+    known = []
+    for _ in range(round(seconds / load_model.TICK_S)):
+        site.run(load_model.TICK_S)
+        for rates in told(site):
+            known.append(rates is not None)
+            for name, rate in (rates or {}).items():
+                assert low * EXPECTED[name] < rate < high * EXPECTED[name]
+    return sum(known) / len(known)
+
+
+def suspected_at(site):
+    return [
+        name
+        for name, vm in site.entry.items()
+        if SLOW.cookie in vm.load.suspicions(site.now)
+    ]
+
+
+def test_each_entry_vm_learns_the_demand_of_all_data_centres():
+    site = make_site()
+    assert run_checked(site, 5.0) == 1.0
+    assert all(set(rates) == set(CENTRES) for rates in told(site))
+
+
+def test_without_requests_nothing_is_sent():
+    site = make_site(rate_per_s=0.0)
+    assert not site.sent
+    busy = next(iter(site.entry.values()))
+    busy.rate_per_s = RATE_PER_S
+    site.run(WARM_UP_S)
+    reporters = [name for name in site.entry if name in site.sent]
+    assert [site.entry[name] for name in reporters] == [busy]
+    busy.rate_per_s = 0.0
+    site.run(8.0)
+    site.sent.clear()
+    site.run(5.0)
+    assert not site.sent
+
+
+def test_reports_are_at_least_their_interval_apart():
+    site = make_site()
+    before = len(site.sizes["LoadReport"])
+    site.run(12.0)
+    sent = len(site.sizes["LoadReport"]) - before
+    assert 6 * 12.0 / 0.74 < sent <= 6 * 12.0 / 0.6
+
+
+@pytest.mark.parametrize("is_one_control_vm_left", [False, True])
+def test_own_estimates_count_when_the_control_vm_does_not_answer(
+    is_one_control_vm_left,
+):
+    site = make_site()
+    first, *others = site.control
+    site.stopped = {first} if is_one_control_vm_left else set(site.control)
+    if is_one_control_vm_left:
+        for vm in site.entry.values():
+            vm.follower.primary = others[0]
+        assert run_checked(site, 8.0, high=1.8) > 0.75
+        return
+    site.run(figures.MAX_AGE_S + 0.1)
+    assert told(site) == [None] * 6
+    site.run(20.0)
+    before = len(site.sizes["LoadReport"])
+    site.run(10.0)
+    assert len(site.sizes["LoadReport"]) - before <= 6 * 3
+    site.stopped = set()
+    site.run(8.0)
+    assert None not in told(site)
+    for vm in site.entry.values():
+        answered = [fields["answered"] for _, fields in vm.recorder.events]
+        assert answered == [False, True]
+
+
+def test_changed_primary_counts_no_demand_twice():
+    site = make_site()
+    for number, vm in enumerate(site.entry.values()):
+        vm.follower.primary = list(site.control)[(number + 1) % 3]
+        # Until the next sums, both control VMs' sums have its demand.
+        run_checked(site, 0.7, high=1.7)
+    assert run_checked(site, 4.0, high=1.4) == 1.0
+
+
+def test_restarted_control_vm_tells_no_partial_sums():
+    site = make_site()
+    site.start_control(next(iter(site.control)))
+    assert run_checked(site, 6.0) > 0.85
+    assert None not in told(site)
+
+
+def test_paused_control_vm_tells_no_partial_or_old_sums():
+    site = make_site()
+    site.paused = {next(iter(site.control))}
+    # Its followers' demand is missing; they would change their primary.
+    site.run(4.0)
+    site.paused = set()
+    site.run(0.02)
+    run_checked(site, 6.0, low=0.3)
+    assert None not in told(site)
+
+
+@pytest.mark.parametrize(
+    "fault", [{"loss": 0.1}, {"repeated": 0.5}, {"loss": 0.1, "repeated": 0.5}]
+)
+def test_lost_late_and_repeated_messages_give_no_wrong_figures(fault):
+    site = make_site()
+    for name, share in fault.items():
+        setattr(site, name, share)
+    assert run_checked(site, 20.0) > 0.85
+
+
+def test_older_report_and_older_sums_are_ignored():
+    checks = figures.Checks(frozenset(CENTRES), recorders.MemoryRecorder())
+    server = load_server.LoadServer(checks, lambda cookie: "desk")
+    server.use_services(frozenset(SERVICES))
+    for step in range(8):
+        server.tick((), step * 0.25)
+    old = messages.LoadReport(100, "north", (RATE("desk", 9000.0),))
+    new = messages.LoadReport(700, "north", (RATE("desk", 2000.0),))
+    server.handle("e1", new, 1.75)
+    assert server.handle("e1", old, 1.8) == []
+    assert server.handle("e1", new, 1.8) == []
+    new_sums = messages.LoadSums(
+        700, 0.0, ("south",), (messages.ServiceDemand("desk", (3000.0,), 2),)
+    )
+    old_sums = attrs.evolve(new_sums, sent_ms=100, demand=())
+    server.handle("c2", new_sums, 1.8)
+    server.handle("c2", old_sums, 1.8)
+    (answer,) = server.handle("e1", attrs.evolve(new, sent_ms=800), 1.9)
+    (row,) = answer.msg.demand
+    assert row == messages.ServiceDemand("desk", (2000, 3000), 3)
+
+
+def test_old_or_foreign_summary_is_ignored():
+    """A summary that waited for 5 s in a socket isn't new."""
+    site = make_site()
+    vm = next(iter(site.entry.values()))
+    known = vm.load.demand_per_s("desk", site.now)
+    sent_ms = vm.load._sent_ms
+    lie = messages.LoadSummary(
+        sent_ms,
+        0.0,
+        CENTRES,
+        (messages.ServiceDemand("desk", (1.0, 1.0), 1),),
+    )
+    site.run(0.1)
+    for peer, msg in (
+        (vm.follower.primary, lie),
+        (vm.follower.primary, attrs.evolve(lie, sent_ms=sent_ms - 700)),
+        (vm.follower.primary, attrs.evolve(lie, sent_ms=2**60)),
+        ("10.1.0.9", attrs.evolve(lie, sent_ms=sent_ms + 1)),
+    ):
+        vm.load.handle(peer, msg, site.now)
+        assert vm.load.demand_per_s("desk", site.now) == known
+    site.paused = set(site.control)
+    site.run(0.8)
+    late = attrs.evolve(lie, sent_ms=vm.load._sent_ms)
+    vm.load.handle(vm.follower.primary, late, site.now + 5.0)
+    assert vm.load.demand_per_s("desk", site.now + 5.0) is None
+
+
+def test_control_vms_cut_off_from_each_other_tell_their_own_side():
+    site = make_site(control_vms=2)
+    one, other = site.control
+    site.cuts = {frozenset((one, other))}
+    site.run(3.0)
+    # With two control VMs each data centre follows one of them.
+    for vm in site.entry.values():
+        rates = vm.load.demand_per_s("desk", site.now)
+        assert set(rates) == {vm.data_centre}
+    site.cuts = set()
+    site.run(1.5)
+    assert all(set(rates) == set(CENTRES) for rates in told(site))
+
+
+def test_paused_entry_vm_neither_uses_nor_reports_old_figures():
+    site = make_site()
+    name, vm = next(iter(site.entry.items()))
+    site.paused = {name}
+    site.run(3.0)
+    assert vm.load.demand_per_s("desk", site.now) is None
+    site.paused = set()
+    # Its callers' packets waited in its socket.
+    for _ in range(120):
+        vm.meter.on_request("desk", site.now)
+    vm.load.tick(site.now)
+    for _ in range(120):
+        vm.meter.on_request("desk", site.now)
+    run_checked(site, 5.0, low=0.5)
+    assert None not in told(site)
+
+
+def test_demand_is_measured_without_bias_after_a_start():
+    meter = demand.DemandMeter(load_model._Registry())
+    for step in range(200):
+        now = step * 0.02
+        meter.tick(now)
+        meter.on_request("desk", now)
+        if step % 4 == 0:
+            meter.on_refused("store", now)
+        if now >= demand.MIN_MEASURED_S:
+            rates = meter.rates_per_s(now)
+            assert rates["desk"] == pytest.approx(50.0, rel=0.1)
+            assert rates["store"] == pytest.approx(12.5, rel=0.25)
+
+
+@pytest.mark.parametrize(
+    ("reporters", "is_service_small", "is_confirmed"),
+    [
+        ((0,), False, False),
+        ((0, 1), False, True),
+        ((0, 3), False, True),
+        ((0,), True, True),
+    ],
+)
+def test_one_of_several_reporters_is_not_enough(
+    reporters, is_service_small, is_confirmed
+):
+    """Entry VMs 0 and 3 follow the same control VM, 0 and 1 don't."""
+    site = make_site()
+    entry_vms = list(site.entry.values())
+    if is_service_small:
+        for vm in entry_vms[1:]:
+            vm.services = ("store",)
+        site.run(8.0)
+    for number in reporters:
+        entry_vms[number].capacity.found = (SLOW,)
+    site.run(2.2)
+    assert len(suspected_at(site)) == (6 if is_confirmed else 0)
+    if is_confirmed:
+        got = entry_vms[5].load.suspicions(site.now)[SLOW.cookie]
+        assert got == SLOW
+    for number in reporters:
+        entry_vms[number].capacity.found = ()
+    site.run(5.0)
+    assert not suspected_at(site)
+
+
+def test_absurd_suspicion_of_a_source_is_clamped_when_sent():
+    site = make_site()
+    for vm in list(site.entry.values())[:2]:
+        vm.capacity.found = (interfaces.Suspicion(7, 1e9, 2.0),)
+    site.run(2.5)
+    got = site.entry["10.2.0.5"].load.suspicions(site.now)[7]
+    assert (got.slowdown, got.failing) == (figures.MAX_SLOWDOWN, 1.0)
+
+
+BAD_RATES = (-1.0, math.nan, math.inf, -math.inf, 1e30)
+
+
+def make_checks():
+    recorder = recorders.MemoryRecorder()
+    checks = figures.Checks(frozenset(CENTRES), recorder)
+    checks.services = frozenset(SERVICES)
+    return checks, recorder
+
+
+@pytest.mark.parametrize("bad", BAD_RATES)
+def test_impossible_number_is_dropped_and_the_rest_is_used(bad):
+    checks, recorder = make_checks()
+    report = checks.report(
+        messages.LoadReport(
+            1,
+            "north",
+            (RATE("desk", bad), RATE("store", 5.0), RATE("unknown", 5.0)),
+            (
+                messages.Suspected(1, bad, 0.0),
+                messages.Suspected(2, 20.0, bad),
+                messages.Suspected(3, 20.0, 50.0, 9),
+            ),
+        )
+    )
+    assert report.demand == (RATE("store", 5.0),)
+    assert report.suspicions == (messages.Suspected(3, 20.0, 50.0, 1),)
+    assert recorder.counts == {"load_figures_refused": 4}
+    totals = checks.totals(
+        messages.LoadSums(
+            1,
+            0.0,
+            ("north", "nowhere", "south"),
+            (
+                messages.ServiceDemand("desk", (bad, 1.0, 2.0), 2),
+                messages.ServiceDemand("store", (1.0, 2.0, 3.0, 4.0), 2),
+            ),
+        )
+    )
+    assert totals.demand == {"desk": {"south": 2.0}}
+    assert totals.data_centres == set(CENTRES)
+    assert recorder.counts == {"load_figures_refused": 7}
+    assert checks.totals(messages.LoadSums(1, bad)) is None
+
+
+def test_excess_figures_and_unknown_data_centres_are_dropped():
+    checks, recorder = make_checks()
+    many = tuple(RATE("desk", 1.0) for _ in range(40))
+    report = checks.report(messages.LoadReport(1, "north", many))
+    assert len(report.demand) == 1
+    assert recorder.counts == {"load_figures_refused": 39}
+    report = checks.report(messages.LoadReport(1, "nowhere", many[:1]))
+    assert report.demand == ()
+
+
+NUMBER = st.one_of(st.integers(-(2**40), 2**40), st.floats(), st.none())
+NAME = st.sampled_from((*SERVICES, *CENTRES, "", "unknown"))
+ROW = st.one_of(
+    st.tuples(NAME, NUMBER),
+    st.tuples(NAME, st.lists(NUMBER, max_size=4), NUMBER),
+    st.tuples(NUMBER, NUMBER, NUMBER, NUMBER),
+)
+ROWS = st.lists(ROW, max_size=40)
+
+
+@hypothesis.settings(
+    max_examples=300, deadline=None, derandomize=True, database=None
+)
+@hypothesis.given(
+    st.sampled_from([660, 661, 662]),
+    st.tuples(NUMBER, NUMBER, st.lists(NAME, max_size=20), ROWS, ROWS),
+    st.tuples(NUMBER, NAME, ROWS, ROWS),
+    st.integers(0, 5),
+)
+def test_any_message_leaves_only_possible_figures(
+    kind, totals_fields, report_fields, kept
+):
+    """Messages of other builds are longer, shorter or of other types."""
+    fields = report_fields if kind == 660 else totals_fields
+    body = msgpack.packb([wire.VERSION, kind, "e9", fields[:kept]])
+    frame = wire._tag(fakes.KEY, body) + body
+    try:
+        _, msg = wire.decode(fakes.KEY, frame)
+    except wire.FrameError:
+        return
+    checks, _ = make_checks()
+    server = load_server.LoadServer(checks, lambda cookie: "desk")
+    for step in range(8):
+        server.tick((), step * 0.25)
+    server.handle("e9", msg, 1.75)
+    report = messages.LoadReport(5, "south", (RATE("store", 2000.0),))
+    (answer,) = server.handle("e1", report, 1.9)
+    totals = checks.totals(answer.msg)
+    assert totals.demand["store"]["south"] >= 2000.0
+    for rates in totals.demand.values():
+        assert all(0 <= rate < math.inf for rate in rates.values())
+
+
+def test_datagrams_stay_small_with_many_services_and_suspicions():
+    """Larger datagrams would be fragmented, or sent by gRPC."""
+    services = tuple(f"a-service-with-a-long-name-{n:04}" for n in range(880))
+    centres = tuple(f"data-centre-{n:02}" for n in range(8))
+    site = load_model.Site(2, 16, centres, services, 400.0)
+    found = tuple(interfaces.Suspicion(2**31 + n, 50, 0.9) for n in range(40))
+    for vm in site.entry.values():
+        vm.capacity.found = found
+    site.run(4.0)
+    assert set(site.sizes) == {"LoadReport", "LoadSummary", "LoadSums"}
+    for sizes in site.sizes.values():
+        assert max(sizes) < 1100
+
+
+def test_among_many_services_the_told_sums_are_complete():
+    """Entry VMs that each report other services would give partial sums."""
+    services = tuple(f"service-{n:03}" for n in range(60))
+    site = load_model.Site(2, 6, CENTRES, services, 600.0)
+    site.run(6.0)
+    expected = 600.0 * 3 / len(services)
+    for vm in site.entry.values():
+        for name in services:
+            rates = vm.load.demand_per_s(name, site.now) or {}
+            for rate in rates.values():
+                assert rate > 0.5 * expected
+
+
+def test_control_nodes_and_entry_nodes_exchange_load():
+    """The nodes dispatch the messages to the shared load."""
+    cluster = control_tests.started_cluster()
+    assert cluster.propose(cluster.leader, control_tests.put_command(2))
+    now = cluster.now
+    follower = load_model.Follower("a", load_model.follower.View())
+    content = attrs.evolve(follower.view, version=2)
+    follower.view = attrs.evolve(content, content=echo_harness.CONTENT)
+    meter = demand.DemandMeter(load_model._Registry())
+    checks, recorder = make_checks()
+    entry = shared_load.EntryLoad(
+        follower, meter, None, "north", checks, recorder, 1
+    )
+    for step in range(150):
+        cluster.run(control_tests.STEP_S)
+        now = cluster.now
+        meter.on_request("desk", now)
+        if step == 75:
+            follower.primary = "b"
+        for action in entry.tick(now):
+            kind = wire.kind_of(action.msg)
+            node = cluster.nodes[action.peer]
+            for reply in node.handle("e1", action.msg, kind, now):
+                entry.handle(action.peer, reply.msg, now)
+    rates = entry.demand_per_s("desk", now)
+    assert rates == {"north": pytest.approx(50.0, rel=0.1)}
