--- /dev/null
+++ b/ebonytally/load/load_server.py
@@ -0,0 +1,305 @@
+"""Control VM's part of the shared load: sums the reports of entry VMs.
+
+Load condition handled: each entry VM sees a small part of the demand and
+of each upstream's requests.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Generic
+from typing import TypeVar
+
+import attrs
+
+from ebonytally import actions
+from ebonytally.load import figures
+from ebonytally.load import messages
+
+SUMS_INTERVAL_S = 0.5
+# Sums are 0.8 s old when the next ones come; these may be lost once. Older
+# ones would make the summary too old before the next one arrives.
+MAX_SUMS_AGE_S = 1.4
+# Sums that should have been replaced by now. While some are late, followers
+# may be in them and in newer ones.
+LATE_SUMS_S = 0.6
+# Until this age of another control VM's sums it isn't known whether its
+# followers have no demand or will be in other sums: it may be restarting, or
+# they may be choosing another primary.
+MAX_MISSING_AGE_S = 2.8
+# Demand is told if at most this part of it is missing.
+MAX_MISSING_SHARE = 0.1
+# After a start or a pause the sums lack followers until each has reported,
+# which takes up to 0.68 s, and the other control VMs have sent theirs.
+COLLECT_S = 0.75
+# The sums are computed anew at most this often, not for each report.
+SUM_AFTER_S = 0.05
+# One reporter's suspicion may come from a few slow requests by chance.
+MIN_REPORTERS = 2
+# Bytes a second for all answers together, as long as each is as large as
+# `MIN_SUMMARY_BYTES`. Reports come every 0.6 s.
+SUMMARIES_BYTES_S = 3000
+REPORT_INTERVAL_S = 0.6
+# Two services in eight data centres and six suspicions.
+MIN_SUMMARY_BYTES = 400
+# A service is told if at least this part of the reports that lack services
+# has it: else reports that lack this one may be many.
+MIN_COVERED_SHARE = 0.9
+# Demand that is told to entry VMs. Below it the standard deviation of the
+# figure is above a quarter, and the largest ones are so by chance.
+MIN_TOLD_PER_100_S = 1000.0
+# A longer time between two ticks means that this VM was paused: reports are
+# older than they seem, and further ones wait in its socket.
+MAX_TICK_GAP_S = 0.5
+
+
+_T = TypeVar("_T")
+
+
+@attrs.frozen
+class _Kept(Generic[_T]):
+    """A report, or the sums of another control VM.
+
+    :param sent_ms: sending time on the sender's clock
+    :param at: local time of arrival, seconds
+    """
+
+    sent_ms: int
+    at: float
+    content: _T
+
+
+class LoadServer:
+    """Answers load reports with the sums of all control VMs."""
+
+    def __init__(
+        self,
+        checks: figures.Checks,
+        service_of: Callable[[int], str | None],
+    ) -> None:
+        """Set up without reports.
+
+        :param service_of: returns the service of an upstream's cookie
+        """
+        self._checks = checks
+        self._service_of = service_of
+        self._reports: dict[str, _Kept[messages.LoadReport]] = {}
+        self._sums: dict[str, _Kept[figures.Totals]] = {}
+        self._merged = figures.Totals()
+        self._merged_at = -1e9
+        # Requests in 100 s when nothing was missing last.
+        self._complete_per_100_s = 0.0
+        self._sums_sent_at = -1e9
+        self._is_last_empty = True
+        self._ticked_at: float | None = None
+        # Time from which the reports of all followers should be here.
+        self._complete_at = float("inf")
+
+    def use_services(self, services: frozenset[str]) -> None:
+        """Set the names of the services in the configuration in force."""
+        self._checks.services = services
+
+    def handle(
+        self, peer: str, msg: object, now: float
+    ) -> list[actions.Action]:
+        """Handle a report of an entry VM or sums of a control VM.
+
+        One that is no newer than the known one is ignored. No report is
+        answered until those of all followers should have arrived.
+        """
+        if isinstance(msg, messages.LoadReport):
+            report = self._checks.report(msg)
+            is_new = self._keep(self._reports, peer, msg.sent_ms, report, now)
+            if not is_new or report.is_empty or now < self._complete_at:
+                return []
+            return [actions.Send(peer, self._summary(msg.sent_ms, now))]
+        if isinstance(msg, messages.LoadSums):
+            totals = self._checks.totals(msg)
+            if totals is not None:
+                self._keep(self._sums, peer, msg.sent_ms, totals, now)
+        return []
+
+    def tick(self, peers: Iterable[str], now: float) -> list[actions.Action]:
+        """Drop old reports; send the sums if they are due.
+
+        :param peers: names of the other control VMs that are heard
+        """
+        self._drop_after_pause(now)
+        self._expire(now)
+        is_due = now - self._sums_sent_at >= SUMS_INTERVAL_S
+        if not is_due or now < self._complete_at:
+            return []
+        totals = self._own_totals(now)
+        if totals.is_empty and self._is_last_empty:
+            return []
+        # Empty ones are sent once, so that the others don't wait for more.
+        self._is_last_empty = totals.is_empty
+        self._sums_sent_at = now
+        fields = self._fields(
+            totals, figures.MAX_SERVICES, figures.MAX_DATAGRAM_BYTES, 0.0
+        )
+        msg = messages.LoadSums(round(now * 1000), *fields, totals.cut_reports)
+        return [actions.Send(name, msg) for name in peers]
+
+    def _keep(
+        self,
+        kept: dict[str, _Kept[_T]],
+        peer: str,
+        sent_ms: int,
+        content: _T,
+        now: float,
+    ) -> bool:
+        """Replace what is kept of a sender, unless that is as new."""
+        known = kept.get(peer)
+        if known is not None and known.at + figures.MAX_AGE_S <= now:
+            known = None
+        if known is not None and sent_ms <= known.sent_ms:
+            return False
+        if known is None and len(kept) >= figures.MAX_REPORTERS:
+            return False
+        kept[peer] = _Kept(sent_ms, now, content)
+        return True
+
+    def _drop_after_pause(self, now: float) -> None:
+        ticked_at = self._ticked_at
+        self._ticked_at = now
+        if ticked_at is not None and now - ticked_at <= MAX_TICK_GAP_S:
+            return
+        self._complete_at = now + COLLECT_S
+        self._reports.clear()
+        self._sums.clear()
+
+    def _expire(self, now: float) -> None:
+        _remove_older(self._reports, figures.MAX_AGE_S, now)
+        _remove_older(self._sums, MAX_MISSING_AGE_S, now)
+
+    def _summary(self, sent_ms: int, now: float) -> messages.LoadSummary:
+        if now - self._merged_at >= SUM_AFTER_S:
+            self._merge(now)
+        share = SUMMARIES_BYTES_S * REPORT_INTERVAL_S / len(self._reports)
+        size = max(MIN_SUMMARY_BYTES, min(share, figures.MAX_DATAGRAM_BYTES))
+        age_s = self._merged.age_s + now - self._merged_at
+        totals = attrs.evolve(self._merged, age_s=age_s)
+        age_ms, names, demand, suspicions = self._fields(
+            totals,
+            figures.MAX_SUMMARY_SERVICES,
+            int(size),
+            MIN_TOLD_PER_100_S,
+        )
+        least = MIN_COVERED_SHARE * totals.cut_reports
+        demand = tuple(
+            row if row.reporters >= least else attrs.evolve(row, per_100_s=())
+            for row in demand
+        )
+        return messages.LoadSummary(sent_ms, age_ms, names, demand, suspicions)
+
+    def _merge(self, now: float) -> None:
+        """Add the sums of all control VMs; keep confirmed suspicions.
+
+        No demand is kept if a large part is missing, and not in the sums
+        of others by now: its data centre would seem to have room.
+        """
+        self._expire(now)
+        merged = self._own_totals(now)
+        missing = figures.Totals()
+        for item in self._sums.values():
+            age_s = item.content.age_s + now - item.at
+            if age_s < MAX_SUMS_AGE_S:
+                merged.add(attrs.evolve(item.content, age_s=age_s))
+            elif age_s < MAX_MISSING_AGE_S:
+                missing.add(item.content)
+        if self._is_incomplete(merged, missing, now):
+            merged.demand = {}
+        for service, count in missing.reporters.items():
+            merged.add_reporters(service, count)
+        merged.suspected = {
+            cookie: suspected
+            for cookie, suspected in merged.suspected.items()
+            if self._is_confirmed(suspected, merged)
+        }
+        self._merged = merged
+        self._merged_at = now
+
+    def _is_incomplete(
+        self, merged: figures.Totals, missing: figures.Totals, now: float
+    ) -> bool:
+        """Return whether a large part of the demand is missing."""
+        present = merged.per_100_s()
+        if (
+            missing.per_100_s() > MAX_MISSING_SHARE * present
+            and present < (1 - MAX_MISSING_SHARE) * self._complete_per_100_s
+        ):
+            return True
+        if all(now - item.at <= LATE_SUMS_S for item in self._sums.values()):
+            self._complete_per_100_s = present
+        return False
+
+    def _is_confirmed(
+        self, suspected: messages.Suspected, totals: figures.Totals
+    ) -> bool:
+        """Return whether enough entry VMs suspect an upstream.
+
+        Where a service has one reporter only, there is no other to ask.
+        """
+        if suspected.reporters >= MIN_REPORTERS:
+            return True
+        service = self._service_of(suspected.cookie)
+        return service is not None and totals.reporters.get(service, 0) <= 1
+
+    def _own_totals(self, now: float) -> figures.Totals:
+        """Return the sums of the own followers, with their mean age."""
+        totals = figures.Totals()
+        ages_s = [0.0]
+        for item in self._reports.values():
+            report = item.content
+            if report.is_empty:
+                continue
+            ages_s.append(now - item.at)
+            totals.cut_reports += report.is_cut
+            if report.demand:
+                totals.data_centres.add(report.data_centre)
+            reported = {self._service_of(s.cookie) for s in report.suspicions}
+            for rate in report.demand:
+                reported.add(rate.service)
+                totals.add_demand(
+                    rate.service, report.data_centre, rate.per_100_s
+                )
+            for service in reported - {None}:
+                totals.add_reporters(service, 1)
+            for suspected in report.suspicions:
+                totals.add_suspected(suspected)
+        totals.age_s = sum(ages_s) / max(1, len(ages_s) - 1)
+        return totals
+
+    def _fields(
+        self,
+        totals: figures.Totals,
+        services: int,
+        size: int,
+        min_per_100_s: float,
+    ) -> tuple:
+        """Return the fields of a message after `sent_ms`.
+
+        :param services: maximum number of services
+        :param size: maximum bytes of the datagram with its headers
+        :param min_per_100_s: services with less demand are left out
+        """
+        names = tuple(sorted(totals.data_centres))
+        names = names[: figures.MAX_DATA_CENTRES]
+        room = size - figures.HEAD_BYTES
+        room -= sum(len(name.encode()) + 2 for name in names)
+        worst = figures.worst(totals.suspected.values())
+        # Suspicions take at most half, so that demand is told in any case.
+        suspicions, left = figures.fit(worst, room // 2)
+        room -= room // 2 - left
+        largest = figures.to_demand(totals, names, services, min_per_100_s)
+        demand, _ = figures.fit(largest, room)
+        return round(totals.age_s * 1000), names, demand, suspicions
+
+
+def _remove_older(
+    kept: dict[str, _Kept[_T]], age_s: float, now: float
+) -> None:
+    """Remove what arrived longer ago than an age in seconds."""
+    for peer, item in list(kept.items()):
+        if now - item.at >= age_s:
+            del kept[peer]
