--- a/ebonytally/deployment.py
+++ b/ebonytally/deployment.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ebonytally.load import settings as load_settings
 from ebonytally import settings
 
 
@@ -41,6 +42,9 @@
     :param cold_slack: requests/s that an upstream in slow start can serve
     :param stop_timeout_s: maximum time from the stop signal to the process's
         end
+    :param link_bytes_s: bandwidth of the VM's link in each direction, 0 if
+        it isn't known
+    :param load: settings of the decisions under load
     """
 
     name: str
@@ -56,3 +60,5 @@
     flow_ttl_s: float
     cold_slack: float
     stop_timeout_s: float
+    link_bytes_s: float = 0.0
+    load: load_settings.Load = load_settings.Load()
--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -11,6 +11,7 @@
 
 from ebonytally.configuration import model
 from ebonytally.echo import cookies
+from ebonytally.echo import gate as gates
 from ebonytally.echo import openings
 from ebonytally.echo import packets
 from ebonytally.echo import placing as placings
@@ -42,15 +43,18 @@
         placing: placings.Placing,
         recorder: recorders.Recorder,
         observers: tuple[interfaces.FlowObserver, ...] = (),
+        gate: gates.Gate | None = None,
     ) -> None:
         """Create a forwarder without flows.
 
         :param observers: hear what packets show about upstreams
+        :param gate: admits new flows; None admits all
         """
         self._registry = registry
         self._follower = follower
         self._placing = placing
         self._recorder = recorder
+        self._gate = gate or gates.Gate(None, None, recorder)
         self._cookies = cookies.Cookies(registry, recorder)
         self._tracker = tracking.FlowTracker(placing, observers, recorder)
         self._view_version = 0
@@ -84,6 +88,11 @@
 
     def handle_packet(self, packet: packets.Packet, now: float) -> Actions:
         """Return what must be sent for a caller's packet."""
+        out = self._handle_packet(packet, now)
+        self._gate.on_packet(packet, out, now)
+        return out
+
+    def _handle_packet(self, packet: packets.Packet, now: float) -> Actions:
         route = self._routes.get(packet.service_address)
         if packet.is_opening:
             if route is None:
@@ -123,7 +132,9 @@
             self._cookies.sweep()
             self._unanswered.sweep(now)
             self._placing.sweep()
-        return list(self._openings.tick(now))
+        out = list(self._openings.tick(now))
+        self._gate.on_tick(out, now)
+        return out
 
     def _open(
         self,
@@ -136,6 +147,10 @@
             return list(self._openings.on_retransmission(packet, now))
         self._recorder.count("flows_opening")
         service = self._placing.service_of(route)
+        if self._is_unopened(packet, now) and not self._gate.admits(
+            packet, route, service, now
+        ):
+            return [packets.Reset(packet)]
         packets_out = self._openings.begin(packet, service, now)
         return list(packets_out) or self._refuse_without_upstream(
             packet, service, now
@@ -186,11 +201,17 @@
         went to another entry VM, the flow may have opened there since.
         """
         if self._follower.is_fresh(now):
-            return packet.copies == self._unanswered.count(packet.key)
+            return self._is_unopened(packet, now)
         self._unanswered.add(packet.key, packet.copies, now)
         self.needs_update = True
         return False
 
+    def _is_unopened(self, packet: packets.Packet, now: float) -> bool:
+        """Return whether the flow of an opening packet is certainly new."""
+        return self._follower.is_fresh(
+            now
+        ) and packet.copies == self._unanswered.count(packet.key)
+
     def _reset_without_route(
         self, packet: packets.Packet, record: records.Record
     ) -> Actions:
--- a/ebonytally/echo/packets.py
+++ b/ebonytally/echo/packets.py
@@ -2,6 +2,12 @@
 
 import attrs
 
+# Headers of IP and UDP around each datagram.
+DATAGRAM_HEADER_BYTES = 28
+# The upstream's number, which precedes a packet that is forwarded.
+UPSTREAM_NUMBER_BYTES = 8
+RESET_BYTES = 32
+
 
 @attrs.define
 class Packet:
@@ -53,3 +59,15 @@
     """Reset the flow of a packet, as it is refused or over."""
 
     packet: Packet
+
+
+def received_bytes(packet: Packet) -> int:
+    """Return the bytes that a packet took on the link."""
+    return len(packet.raw) + DATAGRAM_HEADER_BYTES
+
+
+def sent_bytes(action: ToUpstream | Reset) -> int:
+    """Return the bytes that an action takes on the link."""
+    if isinstance(action, Reset):
+        return RESET_BYTES + DATAGRAM_HEADER_BYTES
+    return received_bytes(action.packet) + UPSTREAM_NUMBER_BYTES
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -3,9 +3,12 @@
 from ebonytally import actions
 from ebonytally import deployment as deployments
 from ebonytally.echo import forwarder
+from ebonytally.echo import gate
 from ebonytally.echo import packets
 from ebonytally.echo import placing
 from ebonytally.feed import follower
+from ebonytally.load import admission
+from ebonytally.load import link_room
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -48,6 +51,7 @@
             self.follower,
             placement,
             recorder,
+            gate=_gate(deployment, recorder),
         )
         self._stopping = False
 
@@ -95,3 +99,14 @@
         """
         self._registry.expire(now)
         return self.forwarder.tick(now), self.follower.tick(now)
+
+
+def _gate(
+    deployment: deployments.Deployment, recorder: recorders.Recorder
+) -> gate.Gate:
+    """Return the gate for new flows, open without admission."""
+    cfg = deployment.load
+    if not cfg.admission:
+        return gate.Gate(None, None, recorder)
+    link = link_room.LinkRoom(deployment.link_bytes_s, cfg.reserved_share)
+    return gate.Gate(admission.LoadAdmission(link), link, recorder)
--- a/ebonytally/load/interfaces.py
+++ b/ebonytally/load/interfaces.py
@@ -190,3 +190,32 @@
         :return: by data centre, each 0 to 1, their sum at most 1; empty
             while the own data centre has room
         """
+
+
+class Traffic(Protocol):
+    """Counts the bytes that callers' packets bring to the VM's link.
+
+    Sizes include the headers of IP and UDP.
+    """
+
+    def on_admitted(self, key: bytes, opening: Opening, now: float) -> None:
+        """Handle the admission of a flow, before its opening packet."""
+
+    def on_packet(
+        self,
+        key: bytes,
+        is_end: bool,
+        received: int,
+        sent: int,
+        now: float,
+    ) -> None:
+        """Handle a packet of a flow.
+
+        :param key: the flow, as in `packets.Packet.key`
+        :param is_end: the caller closes or resets the flow
+        :param received: bytes of the packet
+        :param sent: bytes sent because of it
+        """
+
+    def on_tick(self, sent: int, now: float) -> None:
+        """Handle the passing of time, and bytes sent by timers."""
--- /dev/null
+++ b/ebonytally/load/link_room.py
@@ -0,0 +1,246 @@
+"""Room that this entry VM's link has for new flows.
+
+Load condition: callers' packets need more bytes a second than the link
+carries, so that packets queue at the link, are dropped and retransmitted.
+
+The VM sees only packets that have passed its inbound link, so at
+saturation it measures at most the bandwidth. It therefore counts the bytes
+of a flow when it admits it, in a queue that exists only as a number and
+drains a little slower than the link. While that queue is short, the link's
+own queue is at most as long, whenever the bytes arrive.
+"""
+
+import math
+
+import attrs
+
+from ebonytally.load import classes
+from ebonytally.load import flow_needs
+from ebonytally.load import interfaces
+
+# Share of the bandwidth that is used: control traffic and packets that
+# can't be decoded aren't counted, and a queue must be able to drain.
+TARGET_SHARE = 0.95
+# Longest counted queue, by level. Callers are 3 ms away, and an opening
+# is tried at another upstream after 60 ms without an answer.
+MAX_QUEUE_S = {
+    classes.Level.LOWEST: 0.035,
+    classes.Level.MIDDLE: 0.040,
+    classes.Level.HIGHEST: 0.045,
+}
+# The same while the link is overloaded: the differences leave room for a
+# few flows of a higher level that open together.
+MAX_OVERLOADED_QUEUE_S = {
+    classes.Level.LOWEST: 0.015,
+    classes.Level.MIDDLE: 0.030,
+    classes.Level.HIGHEST: 0.045,
+}
+# The overload is over when the demand, including that of refused flows,
+# stays below this share of the bandwidth.
+OVERLOAD_END_SHARE = 0.9
+DEMAND_WINDOW_S = 0.25
+# Two packets of full size and their answers, for very slow links.
+MIN_QUEUE_BYTES = 4_000
+# Counted beyond this, a queue would only delay the return of openings
+# after the last packet of an overload.
+MAX_COUNTED_S = 0.25
+# A few flows that open together in ordinary hours exceed the queue for a
+# moment; an overload also exceeds this share of the bandwidth for
+# `RATE_WINDOW_S`.
+MIN_RATE_SHARE = 0.8
+RATE_WINDOW_S = 0.15
+# Late bytes of flows come spread over hundreds of milliseconds. They are
+# counted sooner than they arrive, but not all at once.
+LATE_SPREAD_S = 0.15
+# A link that was in use all the time of a slot may hide more demand; the
+# assumed surplus refuses the lowest level after two slots.
+SLOT_S = 0.1
+SATURATED_SHARE = 0.98
+HIDDEN_SHARE = 0.15
+# Ticks come every 20 ms. After a longer gap this VM was paused: packets
+# waited in its socket and arrive together, although the link had carried
+# them one after the other.
+MAX_GAP_S = 0.05
+CREDIT_S = 0.5
+
+
+@attrs.define
+class _State:
+    """Counted queues at a time.
+
+    :param queues: bytes by level, negative while packets that waited in
+        the socket are read
+    :param rate: bytes a second, over `RATE_WINDOW_S`
+    :param demand: the same with those of refused flows, over
+        `DEMAND_WINDOW_S`
+    :param late: bytes of admitted flows that are not in `queues` yet
+    :param pause_s: length of the latest pause of this VM
+    """
+
+    at: float
+    queues: list[float]
+    rate: float = 0.0
+    demand: float = 0.0
+    late: float = 0.0
+    pause_s: float = 0.0
+    paused_at: float = -math.inf
+
+
+class LinkRoom:
+    """An `interfaces.Traffic` that tells how full the link is.
+
+    :ivar received: bytes received so far, with headers
+    :ivar sent: bytes sent so far, with headers
+    """
+
+    def __init__(self, bytes_s: float, reserved_share: float) -> None:
+        """Create an idle link.
+
+        :param bytes_s: bandwidth of each direction, 0 for no limit
+        :param reserved_share: share of the bandwidth that only the
+            highest level may use
+        """
+        self.received = 0
+        self.sent = 0
+        self._bytes_s = bytes_s
+        self._drain = bytes_s * TARGET_SHARE
+        # While the link is overloaded, what a level doesn't see draining is
+        # reserved for the levels above it.
+        self._overloaded_drains = [
+            self._drain
+            * (1 - reserved_share * (1 - level / classes.Level.HIGHEST))
+            for level in classes.Level
+        ]
+        self._is_overloaded = False
+        self._needs = flow_needs.FlowNeeds()
+        self._state = _State(0.0, [0.0 for _ in classes.Level])
+        # Bytes counted since the state was last brought up to date.
+        self._pending = 0.0
+        self._slot_at = 0.0
+        self._slot_received = 0
+
+    def pressure(self, level: classes.Level, now: float) -> float:
+        """Return how full the link is for a level, 1.0 if it has no room."""
+        if not self._bytes_s:
+            return 0.0
+        state = self._at(now)
+        limits = MAX_QUEUE_S
+        if self._is_overloaded:
+            limits = MAX_OVERLOADED_QUEUE_S
+        limit = max(limits[level] * self._bytes_s, MIN_QUEUE_BYTES)
+        queue = max(0.0, state.queues[level]) / limit
+        rate = state.rate / (MIN_RATE_SHARE * self._drain)
+        return min(queue, rate)
+
+    def reserve(self, opening: interfaces.Opening, now: float) -> None:
+        """Count the bytes that an admitted flow will bring."""
+        if not self._bytes_s:
+            return
+        need = self._needs.of(opening)
+        self._settle(now)
+        self._add(self._state, need.early)
+        self._state.late += need.late
+        self._state.demand += need.late / DEMAND_WINDOW_S
+
+    def on_refused(self, opening: interfaces.Opening, now: float) -> None:
+        """Count the demand of a flow that the link has no room for."""
+        need = self._needs.of(opening)
+        self._settle(now)
+        self._state.demand += (need.early + need.late) / DEMAND_WINDOW_S
+        self._is_overloaded = True
+
+    def on_admitted(
+        self, key: bytes, opening: interfaces.Opening, now: float
+    ) -> None:
+        """Expect the bytes of a flow for which `reserve` was called."""
+        if self._bytes_s:
+            self._refund(self._needs.begin(key, opening, now))
+
+    def on_packet(
+        self,
+        key: bytes,
+        is_end: bool,
+        received: int,
+        sent: int,
+        now: float,
+    ) -> None:
+        """Count a packet of a flow and what was sent for it."""
+        self.received += received
+        self.sent += sent
+        if not self._bytes_s:
+            return
+        self._slot_received += received
+        self._pending += self._needs.take(key, max(received, sent), now)
+        if is_end:
+            self._refund(self._needs.end(key))
+
+    def on_tick(self, sent: int, now: float) -> None:
+        """Count bytes that a timer sent, and let time pass."""
+        self.sent += sent
+        if not self._bytes_s:
+            return
+        self._pending += sent
+        self._settle(now)
+        self._refund(self._needs.expire(now))
+        self._end_slot(now)
+        if self._state.demand < OVERLOAD_END_SHARE * self._bytes_s:
+            self._is_overloaded = False
+
+    def _settle(self, now: float) -> None:
+        self._state = self._at(now)
+        self._pending = 0.0
+
+    def _at(self, now: float) -> _State:
+        """Return the state at a time, with the pending bytes."""
+        old = self._state
+        elapsed = max(0.0, now - old.at)
+        state = attrs.evolve(
+            old,
+            at=max(now, old.at),
+            queues=list(old.queues),
+            rate=old.rate * math.exp(-elapsed / RATE_WINDOW_S),
+            demand=old.demand * math.exp(-elapsed / DEMAND_WINDOW_S),
+        )
+        if elapsed > MAX_GAP_S:
+            state.pause_s = min(elapsed, MAX_COUNTED_S * 8)
+            state.paused_at = now
+        leaked = old.late * -math.expm1(-elapsed / LATE_SPREAD_S)
+        state.late -= leaked
+        credit_s = state.pause_s if now - state.paused_at < CREDIT_S else 0.0
+        drains = [self._drain] * len(classes.Level)
+        if self._is_overloaded:
+            drains = self._overloaded_drains
+        for level, drain in enumerate(drains):
+            drained = state.queues[level] - drain * elapsed
+            state.queues[level] = max(-drain * credit_s, drained)
+        self._add(state, self._pending + leaked)
+        # A flow's late bytes were part of the demand from its admission.
+        state.demand -= leaked / DEMAND_WINDOW_S
+        return state
+
+    def _add(self, state: _State, size: float) -> None:
+        """Add bytes to the counted queues."""
+        state.rate += size / RATE_WINDOW_S
+        state.demand += size / DEMAND_WINDOW_S
+        most = MAX_COUNTED_S * self._bytes_s
+        state.queues = [min(most, queue + size) for queue in state.queues]
+
+    def _refund(self, size: float) -> None:
+        """Take back bytes that were expected and didn't arrive."""
+        if size:
+            self._state.queues = [
+                min(queue, max(0.0, queue - size))
+                for queue in self._state.queues
+            ]
+
+    def _end_slot(self, now: float) -> None:
+        """Assume hidden demand if the link was in use for a whole slot."""
+        elapsed = now - self._slot_at
+        if elapsed < SLOT_S:
+            return
+        capacity = self._bytes_s * elapsed
+        is_saturated = self._slot_received >= SATURATED_SHARE * capacity
+        if is_saturated and now - self._state.paused_at >= CREDIT_S:
+            self._add(self._state, HIDDEN_SHARE * capacity)
+        self._slot_at = now
+        self._slot_received = 0
--- a/ebonytally/platform/node_settings.py
+++ b/ebonytally/platform/node_settings.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ebonytally import deployment
+from ebonytally.load import settings as load_settings
 from ebonytally.platform import decode
 from ebonytally import settings
 
@@ -22,6 +23,7 @@
 # previous one is lost.
 _REPLACED_AFTER_S = 1.0
 _SNAPSHOT_ENTRIES = 40
+_BYTES_PER_MEGABIT = 125_000
 
 
 @attrs.frozen
@@ -45,6 +47,22 @@
     cold_slack: float = 5.0
 
 
+def _check_positive(_: object, field: attrs.Attribute, value: float) -> None:
+    if value < 0:
+        name = field.name.replace("_", "-")
+        raise ValueError(f"limits.{name}: must be 0 or more, got {value}")
+
+
+@attrs.frozen
+class _Limits:
+    """What the VM's machine gives it.
+
+    :param link_mbps: megabits a second in each direction, 0 if unknown
+    """
+
+    link_mbps: float = attrs.field(default=0.0, validator=_check_positive)
+
+
 @attrs.frozen
 class _File:
     """The fields of the settings file that are used.
@@ -66,6 +84,8 @@
     heartbeat_ms: float = 1000.0
     zones: dict[str, str] = attrs.field(factory=dict)
     bounds: _Bounds = attrs.field(factory=_Bounds)
+    limits: _Limits = attrs.field(factory=_Limits)
+    load: load_settings.Load = attrs.field(factory=load_settings.Load)
 
 
 def path() -> str:
@@ -117,6 +137,8 @@
         flow_ttl_s=file.bounds.flow_ttl_s,
         cold_slack=file.bounds.cold_slack,
         stop_timeout_s=file.bounds.grace_s / 2,
+        link_bytes_s=file.limits.link_mbps * _BYTES_PER_MEGABIT,
+        load=file.load,
     )
 
 
