--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -8,6 +8,7 @@
 from ebonytally.echo import placing
 from ebonytally.feed import follower
 from ebonytally.load import admission
+from ebonytally.load import classes
 from ebonytally.load import link_room
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
@@ -108,5 +109,8 @@
     cfg = deployment.load
     if not cfg.admission:
         return gate.Gate(None, None, recorder)
-    link = link_room.LinkRoom(deployment.link_bytes_s, cfg.reserved_share)
-    return gate.Gate(admission.LoadAdmission(link), link, recorder)
+    known = classes.Classes()
+    link = link_room.LinkRoom(
+        deployment.link_bytes_s, cfg.reserved_share, known
+    )
+    return gate.Gate(admission.LoadAdmission(known, link), link, recorder)
--- a/ebonytally/load/admission.py
+++ b/ebonytally/load/admission.py
@@ -14,10 +14,12 @@
 class LoadAdmission:
     """An `interfaces.Admission` over the resources that callers share."""
 
-    def __init__(self, link: link_room.LinkRoom) -> None:
+    def __init__(
+        self, classes_: classes.Classes, link: link_room.LinkRoom
+    ) -> None:
         """Create an admission without load."""
+        self._classes = classes_
         self._link = link
-        self._classes = classes.Classes()
 
     def decide(
         self, opening: interfaces.Opening, now: float
@@ -35,8 +37,7 @@
         self, opening: interfaces.Opening, now: float
     ) -> interfaces.Verdict:
         """Return what `decide` would return, without any effect."""
-        level = self._classes.level(opening)
-        pressure = self._link.pressure(level, now)
+        pressure = self._link.pressure(opening, now)
         if pressure >= NO_ROOM:
             return interfaces.Verdict(interfaces.Refusal.LINK, pressure)
         return interfaces.Verdict(None, pressure)
--- a/ebonytally/load/flow_needs.py
+++ b/ebonytally/load/flow_needs.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ebonytally.load import classes
 from ebonytally.load import interfaces
 
 # Bytes that arrive later are counted when they arrive: such a flow is
@@ -47,10 +48,12 @@
 class _Young:
     """A flow that was admitted recently.
 
+    :param level: level of its class at its admission
     :param left: bytes that are expected of it and haven't arrived
     """
 
     route: tuple
+    level: classes.Level
     began_at: float
     left: float
     early: int = 0
@@ -70,19 +73,17 @@
         return self._needs.get(_route_of(opening)) or Need()
 
     def begin(
-        self, key: bytes, opening: interfaces.Opening, now: float
-    ) -> float:
-        """Add an admitted flow.
-
-        :return: bytes expected of an earlier flow of this key that
-            never arrived
-        """
-        unused = self.end(key)
+        self,
+        key: bytes,
+        opening: interfaces.Opening,
+        level: classes.Level,
+        now: float,
+    ) -> None:
+        """Add an admitted flow that isn't known."""
         if len(self._young) < MAX_YOUNG:
             need = self.of(opening)
             left = need.early + need.late
-            self._young[key] = _Young(_route_of(opening), now, left)
-        return unused
+            self._young[key] = _Young(_route_of(opening), level, now, left)
 
     def take(self, key: bytes, size: int, now: float) -> float:
         """Count a packet's bytes; return how many weren't expected."""
@@ -97,23 +98,26 @@
         flow.left -= expected
         return size - expected
 
-    def end(self, key: bytes) -> float:
-        """Remove a flow; return the expected bytes that never arrived."""
+    def end(self, key: bytes) -> tuple[classes.Level, float]:
+        """Remove a flow.
+
+        :return: its level, and the expected bytes that never arrived
+        """
         flow = self._young.pop(key, None)
         if flow is None:
-            return 0.0
+            return classes.Level.LOWEST, 0.0
         need = self._needs.get(flow.route)
         if need is None:
             if len(self._needs) >= MAX_ROUTES:
                 self._needs.clear()
             need = self._needs[flow.route] = Need()
         need.learn(flow.early, flow.late)
-        return flow.left
+        return flow.level, flow.left
 
-    def expire(self, now: float) -> float:
+    def expire(self, now: float) -> list[tuple[classes.Level, float]]:
         """Remove the flows that are no longer young.
 
-        :return: expected bytes that never arrived
+        :return: for each the same as `end` returns
         """
         expired = []
         for key, flow in self._young.items():
@@ -121,7 +125,7 @@
             if now - flow.began_at <= YOUNG_S:
                 break
             expired.append(key)
-        return sum(self.end(key) for key in expired)
+        return [self.end(key) for key in expired]
 
 
 def _route_of(opening: interfaces.Opening) -> tuple:
--- a/ebonytally/load/link_room.py
+++ b/ebonytally/load/link_room.py
@@ -37,8 +37,11 @@
 }
 # The overload is over when the demand, including that of refused flows,
 # stays below this share of the bandwidth.
-OVERLOAD_END_SHARE = 0.9
-DEMAND_WINDOW_S = 0.25
+OVERLOAD_END_SHARE = 1.0
+# Callers retry a refused request twice, so each refusal is at least this
+# share of a request.
+REFUSAL_DEMAND = 1 / 3
+DEMAND_WINDOW_S = 0.4
 # Two packets of full size and their answers, for very slow links.
 MIN_QUEUE_BYTES = 4_000
 # Counted beyond this, a queue would only delay the return of openings
@@ -68,20 +71,21 @@
 class _State:
     """Counted queues at a time.
 
-    :param queues: bytes by level, negative while packets that waited in
-        the socket are read
+    :param queues: for each level the bytes of this and lower levels,
+        negative while packets that waited in the socket are read
     :param rate: bytes a second, over `RATE_WINDOW_S`
     :param demand: the same with those of refused flows, over
         `DEMAND_WINDOW_S`
-    :param late: bytes of admitted flows that are not in `queues` yet
+    :param late: by level, bytes of admitted flows that are not in
+        `queues` yet
     :param pause_s: length of the latest pause of this VM
     """
 
     at: float
     queues: list[float]
+    late: list[float]
     rate: float = 0.0
     demand: float = 0.0
-    late: float = 0.0
     pause_s: float = 0.0
     paused_at: float = -math.inf
 
@@ -93,44 +97,50 @@
     :ivar sent: bytes sent so far, with headers
     """
 
-    def __init__(self, bytes_s: float, reserved_share: float) -> None:
+    def __init__(
+        self,
+        bytes_s: float,
+        reserved_share: float,
+        classes_: classes.Classes,
+    ) -> None:
         """Create an idle link.
 
         :param bytes_s: bandwidth of each direction, 0 for no limit
         :param reserved_share: share of the bandwidth that only the
-            highest level may use
+            highest level may use; the middle level may use half of it
         """
         self.received = 0
         self.sent = 0
         self._bytes_s = bytes_s
-        self._drain = bytes_s * TARGET_SHARE
-        # While the link is overloaded, what a level doesn't see draining is
-        # reserved for the levels above it.
-        self._overloaded_drains = [
-            self._drain
+        self._classes = classes_
+        self._drains = [
+            bytes_s
+            * TARGET_SHARE
             * (1 - reserved_share * (1 - level / classes.Level.HIGHEST))
             for level in classes.Level
         ]
         self._is_overloaded = False
         self._needs = flow_needs.FlowNeeds()
-        self._state = _State(0.0, [0.0 for _ in classes.Level])
+        nothing = [0.0 for _ in classes.Level]
+        self._state = _State(0.0, nothing, nothing)
         # Bytes counted since the state was last brought up to date.
         self._pending = 0.0
         self._slot_at = 0.0
         self._slot_received = 0
 
-    def pressure(self, level: classes.Level, now: float) -> float:
-        """Return how full the link is for a level, 1.0 if it has no room."""
+    def pressure(self, opening: interfaces.Opening, now: float) -> float:
+        """Return how full the link is for a flow, 1.0 if it has no room."""
         if not self._bytes_s:
             return 0.0
         state = self._at(now)
+        level = self._classes.level(opening)
         limits = MAX_QUEUE_S
         if self._is_overloaded:
             limits = MAX_OVERLOADED_QUEUE_S
         limit = max(limits[level] * self._bytes_s, MIN_QUEUE_BYTES)
-        queue = max(0.0, state.queues[level]) / limit
-        rate = state.rate / (MIN_RATE_SHARE * self._drain)
-        return min(queue, rate)
+        queue = max(0.0, state.queues[level], state.queues[-1])
+        rate = state.rate / (MIN_RATE_SHARE * self._bytes_s)
+        return min(queue / limit, rate)
 
     def reserve(self, opening: interfaces.Opening, now: float) -> None:
         """Count the bytes that an admitted flow will bring."""
@@ -138,15 +148,17 @@
             return
         need = self._needs.of(opening)
         self._settle(now)
-        self._add(self._state, need.early)
-        self._state.late += need.late
+        level = self._classes.level(opening)
+        self._add(self._state, need.early, level)
+        self._state.late[level] += need.late
         self._state.demand += need.late / DEMAND_WINDOW_S
 
     def on_refused(self, opening: interfaces.Opening, now: float) -> None:
         """Count the demand of a flow that the link has no room for."""
         need = self._needs.of(opening)
         self._settle(now)
-        self._state.demand += (need.early + need.late) / DEMAND_WINDOW_S
+        size = REFUSAL_DEMAND * (need.early + need.late)
+        self._state.demand += size / DEMAND_WINDOW_S
         self._is_overloaded = True
 
     def on_admitted(
@@ -154,7 +166,9 @@
     ) -> None:
         """Expect the bytes of a flow for which `reserve` was called."""
         if self._bytes_s:
-            self._refund(self._needs.begin(key, opening, now))
+            self._refund(*self._needs.end(key))
+            level = self._classes.level(opening)
+            self._needs.begin(key, opening, level, now)
 
     def on_packet(
         self,
@@ -172,7 +186,7 @@
         self._slot_received += received
         self._pending += self._needs.take(key, max(received, sent), now)
         if is_end:
-            self._refund(self._needs.end(key))
+            self._refund(*self._needs.end(key))
 
     def on_tick(self, sent: int, now: float) -> None:
         """Count bytes that a timer sent, and let time pass."""
@@ -181,7 +195,8 @@
             return
         self._pending += sent
         self._settle(now)
-        self._refund(self._needs.expire(now))
+        for level, unused in self._needs.expire(now):
+            self._refund(level, unused)
         self._end_slot(now)
         if self._state.demand < OVERLOAD_END_SHARE * self._bytes_s:
             self._is_overloaded = False
@@ -198,40 +213,46 @@
             old,
             at=max(now, old.at),
             queues=list(old.queues),
+            late=list(old.late),
             rate=old.rate * math.exp(-elapsed / RATE_WINDOW_S),
             demand=old.demand * math.exp(-elapsed / DEMAND_WINDOW_S),
         )
         if elapsed > MAX_GAP_S:
             state.pause_s = min(elapsed, MAX_COUNTED_S * 8)
             state.paused_at = now
-        leaked = old.late * -math.expm1(-elapsed / LATE_SPREAD_S)
-        state.late -= leaked
         credit_s = state.pause_s if now - state.paused_at < CREDIT_S else 0.0
-        drains = [self._drain] * len(classes.Level)
-        if self._is_overloaded:
-            drains = self._overloaded_drains
-        for level, drain in enumerate(drains):
+        for level, drain in enumerate(self._drains):
             drained = state.queues[level] - drain * elapsed
             state.queues[level] = max(-drain * credit_s, drained)
-        self._add(state, self._pending + leaked)
-        # A flow's late bytes were part of the demand from its admission.
-        state.demand -= leaked / DEMAND_WINDOW_S
+        self._add(state, self._pending)
+        spread = -math.expm1(-elapsed / LATE_SPREAD_S)
+        for level, late in enumerate(old.late):
+            state.late[level] -= late * spread
+            self._add(state, late * spread, level)
+            # It was part of the demand from its admission.
+            state.demand -= late * spread / DEMAND_WINDOW_S
         return state
 
-    def _add(self, state: _State, size: float) -> None:
-        """Add bytes to the counted queues."""
+    def _add(
+        self,
+        state: _State,
+        size: float,
+        level: int = classes.Level.LOWEST,
+    ) -> None:
+        """Add bytes of a level; the lowest if it isn't known."""
         state.rate += size / RATE_WINDOW_S
         state.demand += size / DEMAND_WINDOW_S
         most = MAX_COUNTED_S * self._bytes_s
-        state.queues = [min(most, queue + size) for queue in state.queues]
+        for queue in range(level, len(state.queues)):
+            state.queues[queue] = min(most, state.queues[queue] + size)
 
-    def _refund(self, size: float) -> None:
+    def _refund(self, level: classes.Level, size: float) -> None:
         """Take back bytes that were expected and didn't arrive."""
         if size:
-            self._state.queues = [
-                min(queue, max(0.0, queue - size))
-                for queue in self._state.queues
-            ]
+            queues = self._state.queues
+            for other in range(level, len(queues)):
+                rest = max(0.0, queues[other] - size)
+                queues[other] = min(queues[other], rest)
 
     def _end_slot(self, now: float) -> None:
         """Assume hidden demand if the link was in use for a whole slot."""
