--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -9,7 +9,10 @@
 from ebonytally.feed import follower
 from ebonytally.load import admission
 from ebonytally.load import classes
+from ebonytally.load import fair_shares
+from ebonytally.load import interfaces
 from ebonytally.load import link_room
+from ebonytally.load import upstream_room
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -52,7 +55,7 @@
             self.follower,
             placement,
             recorder,
-            gate=_gate(deployment, recorder),
+            gate=_gate(deployment, None, recorder),
         )
         self._stopping = False
 
@@ -103,7 +106,9 @@
 
 
 def _gate(
-    deployment: deployments.Deployment, recorder: recorders.Recorder
+    deployment: deployments.Deployment,
+    capacity: interfaces.Capacity | None,
+    recorder: recorders.Recorder,
 ) -> gate.Gate:
     """Return the gate for new flows, open without admission."""
     cfg = deployment.load
@@ -113,4 +118,10 @@
     link = link_room.LinkRoom(
         deployment.link_bytes_s, cfg.reserved_share, known
     )
-    return gate.Gate(admission.LoadAdmission(known, link), link, recorder)
+    decisions = admission.LoadAdmission(
+        known,
+        link,
+        upstream_room.UpstreamRoom(capacity, cfg.reserved_share, known),
+        fair_shares.FairShares(),
+    )
+    return gate.Gate(decisions, link, recorder)
--- a/ebonytally/live_recorder.py
+++ b/ebonytally/live_recorder.py
@@ -37,26 +37,31 @@
     def __init__(self) -> None:
         """Set up without any lines counted."""
         self._current_s = 0
-        self._counts: dict[events.Event, int] = {}
-        self._suppressed: dict[events.Event, int] = {}
+        self._counts: dict[tuple[events.Event, str], int] = {}
+        self._suppressed: dict[tuple[events.Event, str], int] = {}
 
-    def allow(self, event: events.Event, now: float) -> bool:
-        """Return whether to write a line at `now` (seconds), and count it."""
+    def allow(self, event: events.Event, now: float, reason: str = "") -> bool:
+        """Return whether to write a line at `now` (seconds), and count it.
+
+        :param reason: each reason of an event has its own limit; one of a
+            fixed set
+        """
         if event not in _RATE_LIMITED_EVENTS:
             return True
+        key = event, reason
         if int(now) != self._current_s:
             self._current_s = int(now)
             self._counts.clear()
-        count = self._counts.get(event, 0)
-        self._counts[event] = count + 1
+        count = self._counts.get(key, 0)
+        self._counts[key] = count + 1
         if count < MAX_LINES_PER_S:
             return True
-        self._suppressed[event] = self._suppressed.get(event, 0) + 1
+        self._suppressed[key] = self._suppressed.get(key, 0) + 1
         return False
 
-    def pop_suppressed(self, event: events.Event) -> int:
-        """Return the lines of an event suppressed since the last call."""
-        return self._suppressed.pop(event, 0)
+    def pop_suppressed(self, event: events.Event, reason: str = "") -> int:
+        """Return the lines suppressed since the last call."""
+        return self._suppressed.pop((event, reason), 0)
 
 
 class LiveRecorder:
@@ -115,9 +120,12 @@
     def log_event(self, event: events.Event, **fields: object) -> None:
         """Write one log event."""
         wall = time.time()
-        if not self._rate_limit.allow(event, wall):
+        reason = ""
+        if event == events.Event.FLOW_REFUSED:
+            reason = str(fields.get("reason", ""))
+        if not self._rate_limit.allow(event, wall, reason):
             return
-        suppressed = self._rate_limit.pop_suppressed(event)
+        suppressed = self._rate_limit.pop_suppressed(event, reason)
         if suppressed:
             fields["suppressed"] = suppressed
         self._log.write(event, fields, wall)
--- a/ebonytally/load/admission.py
+++ b/ebonytally/load/admission.py
@@ -5,21 +5,35 @@
 """
 
 from ebonytally.load import classes
+from ebonytally.load import fair_shares
 from ebonytally.load import interfaces
 from ebonytally.load import link_room
+from ebonytally.load import upstream_room
 
 NO_ROOM = 1.0
+# Callers over their share are refused from this pressure on, so that the
+# room above it is left to the others.
+SHARES_PRESSURE = 0.7
 
 
 class LoadAdmission:
     """An `interfaces.Admission` over the resources that callers share."""
 
     def __init__(
-        self, classes_: classes.Classes, link: link_room.LinkRoom
+        self,
+        classes_: classes.Classes,
+        link: link_room.LinkRoom,
+        upstreams: upstream_room.UpstreamRoom,
+        shares: fair_shares.FairShares,
     ) -> None:
-        """Create an admission without load."""
+        """Create an admission without load.
+
+        :param classes_: the same that `link` and `upstreams` use
+        """
         self._classes = classes_
         self._link = link
+        self._upstreams = upstreams
+        self._shares = shares
 
     def decide(
         self, opening: interfaces.Opening, now: float
@@ -27,17 +41,28 @@
         """Return the verdict and count the flow as load if it is opened."""
         self._classes.add(opening, now)
         verdict = self.preview(opening, now)
-        if verdict.is_admitted:
-            self._link.reserve(opening, now)
-        elif verdict.refusal == interfaces.Refusal.LINK:
+        if verdict.refusal == interfaces.Refusal.LINK:
             self._link.on_refused(opening, now)
+        elif verdict.refusal == interfaces.Refusal.UPSTREAMS:
+            self._upstreams.count(opening, now)
+        elif verdict.is_admitted:
+            self._upstreams.count(opening, now)
+            self._link.reserve(opening, now)
+            self._shares.count(opening, now)
         return verdict
 
     def preview(
         self, opening: interfaces.Opening, now: float
     ) -> interfaces.Verdict:
         """Return what `decide` would return, without any effect."""
-        pressure = self._link.pressure(opening, now)
-        if pressure >= NO_ROOM:
-            return interfaces.Verdict(interfaces.Refusal.LINK, pressure)
-        return interfaces.Verdict(None, pressure)
+        link = self._link.pressure(opening, now)
+        upstreams = self._upstreams.pressure(opening, now)
+        if max(link, upstreams) >= SHARES_PRESSURE:
+            use = self._shares.use(opening, now)
+            if use >= NO_ROOM:
+                return interfaces.Verdict(interfaces.Refusal.CALLER, use)
+        if link >= NO_ROOM:
+            return interfaces.Verdict(interfaces.Refusal.LINK, link)
+        if self._upstreams.is_refused(opening, now):
+            return interfaces.Verdict(interfaces.Refusal.UPSTREAMS, upstreams)
+        return interfaces.Verdict(None, max(link, upstreams))
--- a/ebonytally/load/settings.py
+++ b/ebonytally/load/settings.py
@@ -7,10 +7,7 @@
 
 def _check_share(_: object, __: attrs.Attribute, value: float) -> None:
     if not 0 <= value <= MAX_RESERVED_SHARE:
-        raise ValueError(
-            "load.reserved-share: must be 0 to"
-            f" {MAX_RESERVED_SHARE}, got {value}"
-        )
+        raise ValueError(f"must be 0 to {MAX_RESERVED_SHARE}, got {value}")
 
 
 @attrs.frozen
--- a/ebonytally/platform/node_settings.py
+++ b/ebonytally/platform/node_settings.py
@@ -3,6 +3,7 @@
 import hashlib
 import os
 import tomllib
+import typing
 
 import attrs
 
@@ -24,6 +25,7 @@
 _REPLACED_AFTER_S = 1.0
 _SNAPSHOT_ENTRIES = 40
 _BYTES_PER_MEGABIT = 125_000
+_T = typing.TypeVar("_T")
 
 
 @attrs.frozen
@@ -47,10 +49,9 @@
     cold_slack: float = 5.0
 
 
-def _check_positive(_: object, field: attrs.Attribute, value: float) -> None:
+def _check_not_negative(_: object, __: attrs.Attribute, value: float) -> None:
     if value < 0:
-        name = field.name.replace("_", "-")
-        raise ValueError(f"limits.{name}: must be 0 or more, got {value}")
+        raise ValueError(f"must be 0 or more, got {value}")
 
 
 @attrs.frozen
@@ -60,7 +61,7 @@
     :param link_mbps: megabits a second in each direction, 0 if unknown
     """
 
-    link_mbps: float = attrs.field(default=0.0, validator=_check_positive)
+    link_mbps: float = attrs.field(default=0.0, validator=_check_not_negative)
 
 
 @attrs.frozen
@@ -84,8 +85,6 @@
     heartbeat_ms: float = 1000.0
     zones: dict[str, str] = attrs.field(factory=dict)
     bounds: _Bounds = attrs.field(factory=_Bounds)
-    limits: _Limits = attrs.field(factory=_Limits)
-    load: load_settings.Load = attrs.field(factory=load_settings.Load)
 
 
 def path() -> str:
@@ -123,6 +122,7 @@
         decode.endpoint(seed, _STEP)[0] for seed in sorted(file.seeds)
     )
     bind = file.bind_addrs
+    limits = _table(raw, "limits", _Limits)
     return deployment.Deployment(
         name=file.node_name,
         role=role,
@@ -137,11 +137,37 @@
         flow_ttl_s=file.bounds.flow_ttl_s,
         cold_slack=file.bounds.cold_slack,
         stop_timeout_s=file.bounds.grace_s / 2,
-        link_bytes_s=file.limits.link_mbps * _BYTES_PER_MEGABIT,
-        load=file.load,
+        link_bytes_s=limits.link_mbps * _BYTES_PER_MEGABIT,
+        load=_table(raw, "load", load_settings.Load),
     )
 
 
+def _table(raw: dict, name: str, cls: type[_T]) -> _T:
+    """Return a table of the settings file, with errors that name the field.
+
+    :param cls: all its fields have defaults
+    """
+    table = raw.get(name, {})
+    if not isinstance(table, dict):
+        detail = f"expected a table, got {decode.quoted(table)}"
+        raise decode.DecodeError(_STEP, name, detail)
+    result = cls()
+    for field in attrs.fields(cls):
+        key = field.name.replace("_", "-")
+        if key not in table:
+            continue
+        try:
+            value = decode.structure(table[key], field.type, _STEP)
+            result = attrs.evolve(result, **{field.name: value})
+        except decode.DecodeError as exc:
+            raise decode.DecodeError(
+                _STEP, f"{name}.{key}", exc.detail
+            ) from exc
+        except ValueError as exc:
+            raise decode.DecodeError(_STEP, f"{name}.{key}", str(exc)) from exc
+    return result
+
+
 def _endpoint(text: str) -> deployment.Endpoint | None:
     """Return the endpoint of ``ip:port``, None for an empty text."""
     if not text:
--- a/tests/link_model.py
+++ b/tests/link_model.py
@@ -16,8 +16,9 @@
 from ebonytally.echo import packets
 from ebonytally.load import admission
 from ebonytally.load import classes
-from ebonytally.load import interfaces
+from ebonytally.load import fair_shares
 from ebonytally.load import link_room
+from ebonytally.load import upstream_room
 from tests import echo_harness
 
 BYTES_S = 310_000.0
@@ -118,9 +119,7 @@
 class Site:
     """Callers, an entry VM on a link, and upstreams that answer all."""
 
-    def __init__(
-        self, seed, is_admitting=True, capacity=None, bytes_s=BYTES_S
-    ):
+    def __init__(self, seed, is_admitting=True, bytes_s=BYTES_S):
         content = model.Content(ROUTES, echo_harness.SERVICES, 15.0)
         self.control = echo_harness.ControlVm("c1")
         self.control.apply_configuration(2, content)
@@ -133,7 +132,12 @@
         known = classes.Classes()
         room = link_room.LinkRoom(bytes_s, 0.1, known)
         self.room = room
-        self.admission = admission.LoadAdmission(known, room)
+        self.admission = admission.LoadAdmission(
+            known,
+            room,
+            upstream_room.UpstreamRoom(None, 0.1, known),
+            fair_shares.FairShares(),
+        )
         gate_ = gate.Gate(self.admission, room, self.recorder)
         if not is_admitting:
             gate_ = gate.Gate(None, None, self.recorder)
