--- a/ebonytally/load/admission.py
+++ b/ebonytally/load/admission.py
@@ -12,8 +12,10 @@
 
 NO_ROOM = 1.0
 # Callers over their share are refused from this pressure on, so that the
-# room above it is left to the others.
+# room above it is left to the others. During an overload of the link they
+# get only what the others leave.
 SHARES_PRESSURE = 0.7
+OVERLOADED_SHARES_PRESSURE = 0.1
 
 
 class LoadAdmission:
@@ -41,14 +43,14 @@
         """Return the verdict and count the flow as load if it is opened."""
         self._classes.add(opening, now)
         verdict = self.preview(opening, now)
-        if verdict.refusal == interfaces.Refusal.LINK:
-            self._link.on_refused(opening, now)
-        elif verdict.refusal == interfaces.Refusal.UPSTREAMS:
-            self._upstreams.count(opening, now)
-        elif verdict.is_admitted:
+        if verdict.is_admitted:
             self._upstreams.count(opening, now)
             self._link.reserve(opening, now)
             self._shares.count(opening, now)
+        elif verdict.refusal == interfaces.Refusal.UPSTREAMS:
+            self._upstreams.count(opening, now)
+        else:
+            self._link.on_refused(opening, now)
         return verdict
 
     def preview(
@@ -57,7 +59,10 @@
         """Return what `decide` would return, without any effect."""
         link = self._link.pressure(opening, now)
         upstreams = self._upstreams.pressure(opening, now)
-        if max(link, upstreams) >= SHARES_PRESSURE:
+        shares_pressure = SHARES_PRESSURE
+        if self._link.is_overloaded:
+            shares_pressure = OVERLOADED_SHARES_PRESSURE
+        if max(link, upstreams) >= shares_pressure:
             use = self._shares.use(opening, now)
             if use >= NO_ROOM:
                 return interfaces.Verdict(interfaces.Refusal.CALLER, use)
--- a/ebonytally/load/link_room.py
+++ b/ebonytally/load/link_room.py
@@ -31,13 +31,14 @@
 # The same while the link is overloaded: the differences leave room for a
 # few flows of a higher level that open together.
 MAX_OVERLOADED_QUEUE_S = {
-    classes.Level.LOWEST: 0.015,
-    classes.Level.MIDDLE: 0.030,
-    classes.Level.HIGHEST: 0.045,
+    classes.Level.LOWEST: 0.020,
+    classes.Level.MIDDLE: 0.035,
+    classes.Level.HIGHEST: 0.050,
 }
-# The overload is over when the demand, including that of refused flows,
-# stays below this share of the bandwidth.
-OVERLOAD_END_SHARE = 1.0
+# Shares of the bandwidth from which on the demand, including that of
+# refused flows, is an overload, and below which it is over.
+OVERLOAD_SHARE = 1.0
+OVERLOAD_END_SHARE = 0.95
 # Callers retry a refused request twice, so each refusal is at least this
 # share of a request.
 REFUSAL_DEMAND = 1 / 3
@@ -62,9 +63,10 @@
 HIDDEN_SHARE = 0.15
 # Ticks come every 20 ms. After a longer gap this VM was paused: packets
 # waited in its socket and arrive together, although the link had carried
-# them one after the other.
+# them one after the other. Reading them, and serving the flows that
+# waited, takes up to as long again.
 MAX_GAP_S = 0.05
-CREDIT_S = 0.5
+MIN_CREDIT_S = 0.5
 
 
 @attrs.define
@@ -78,7 +80,8 @@
         `DEMAND_WINDOW_S`
     :param late: by level, bytes of admitted flows that are not in
         `queues` yet
-    :param pause_s: length of the latest pause of this VM
+    :param credit_s: length of a recent pause of this VM, in which the
+        link was in use but nothing could be counted
     """
 
     at: float
@@ -86,8 +89,8 @@
     late: list[float]
     rate: float = 0.0
     demand: float = 0.0
-    pause_s: float = 0.0
-    paused_at: float = -math.inf
+    credit_s: float = 0.0
+    credit_until: float = 0.0
 
 
 class LinkRoom:
@@ -95,6 +98,8 @@
 
     :ivar received: bytes received so far, with headers
     :ivar sent: bytes sent so far, with headers
+    :ivar is_overloaded: flows were refused, and the demand is still above
+        the bandwidth
     """
 
     def __init__(
@@ -119,7 +124,7 @@
             * (1 - reserved_share * (1 - level / classes.Level.HIGHEST))
             for level in classes.Level
         ]
-        self._is_overloaded = False
+        self.is_overloaded = False
         self._needs = flow_needs.FlowNeeds()
         nothing = [0.0 for _ in classes.Level]
         self._state = _State(0.0, nothing, nothing)
@@ -135,7 +140,7 @@
         state = self._at(now)
         level = self._classes.level(opening)
         limits = MAX_QUEUE_S
-        if self._is_overloaded:
+        if self.is_overloaded:
             limits = MAX_OVERLOADED_QUEUE_S
         limit = max(limits[level] * self._bytes_s, MIN_QUEUE_BYTES)
         queue = max(0.0, state.queues[level], state.queues[-1])
@@ -154,12 +159,13 @@
         self._state.demand += need.late / DEMAND_WINDOW_S
 
     def on_refused(self, opening: interfaces.Opening, now: float) -> None:
-        """Count the demand of a flow that the link has no room for."""
+        """Count the demand of a flow that is refused."""
         need = self._needs.of(opening)
         self._settle(now)
         size = REFUSAL_DEMAND * (need.early + need.late)
         self._state.demand += size / DEMAND_WINDOW_S
-        self._is_overloaded = True
+        if self._state.demand >= OVERLOAD_SHARE * self._bytes_s:
+            self.is_overloaded = True
 
     def on_admitted(
         self, key: bytes, opening: interfaces.Opening, now: float
@@ -199,7 +205,7 @@
             self._refund(level, unused)
         self._end_slot(now)
         if self._state.demand < OVERLOAD_END_SHARE * self._bytes_s:
-            self._is_overloaded = False
+            self.is_overloaded = False
 
     def _settle(self, now: float) -> None:
         self._state = self._at(now)
@@ -218,12 +224,13 @@
             demand=old.demand * math.exp(-elapsed / DEMAND_WINDOW_S),
         )
         if elapsed > MAX_GAP_S:
-            state.pause_s = min(elapsed, MAX_COUNTED_S * 8)
-            state.paused_at = now
-        credit_s = state.pause_s if now - state.paused_at < CREDIT_S else 0.0
+            state.credit_s = max(elapsed, state.credit_s)
+            state.credit_until = now + max(elapsed, MIN_CREDIT_S)
+        elif now >= state.credit_until:
+            state.credit_s = 0.0
         for level, drain in enumerate(self._drains):
             drained = state.queues[level] - drain * elapsed
-            state.queues[level] = max(-drain * credit_s, drained)
+            state.queues[level] = max(-drain * state.credit_s, drained)
         self._add(state, self._pending)
         spread = -math.expm1(-elapsed / LATE_SPREAD_S)
         for level, late in enumerate(old.late):
@@ -261,7 +268,7 @@
             return
         capacity = self._bytes_s * elapsed
         is_saturated = self._slot_received >= SATURATED_SHARE * capacity
-        if is_saturated and now - self._state.paused_at >= CREDIT_S:
+        if is_saturated and not self._state.credit_s:
             self._add(self._state, HIDDEN_SHARE * capacity)
         self._slot_at = now
         self._slot_received = 0
--- a/ebonytally/load/upstream_room.py
+++ b/ebonytally/load/upstream_room.py
@@ -17,13 +17,12 @@
 # second decrease them. Between them nothing changes, which keeps the share
 # from oscillating at the limit.
 MAX_REJECTED = 0.03
-MIN_REJECTED = 0.01
+MIN_REJECTED = 0.02
 # The rejected share is an average over some seconds: with a shorter
 # response the refusals would overshoot before it shows their effect.
 RISE_S = 0.5
-# Upstreams work off a full queue within the latency that callers expect;
-# refused callers then come back gradually.
-FALL_S = 1.0
+# Upstreams work off a full queue within the latency that callers expect.
+FALL_S = 0.5
 MIN_SHARE = 0.005
 # Some flows of each level are always opened, to learn whether there is
 # room again.
--- a/tests/link_model.py
+++ b/tests/link_model.py
@@ -4,6 +4,7 @@
 another and drops what would wait too long; answers of upstreams bypass it.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -119,7 +120,7 @@
 class Site:
     """Callers, an entry VM on a link, and upstreams that answer all."""
 
-    def __init__(self, seed, is_admitting=True, bytes_s=BYTES_S):
+    def __init__(self, seed, is_admitting=True):
         content = model.Content(ROUTES, echo_harness.SERVICES, 15.0)
         self.control = echo_harness.ControlVm("c1")
         self.control.apply_configuration(2, content)
@@ -130,15 +131,14 @@
         self.entry = echo_harness.EntryVm("e1", [self.control])
         self.recorder = self.entry.recorder
         known = classes.Classes()
-        room = link_room.LinkRoom(bytes_s, 0.1, known)
-        self.room = room
-        self.admission = admission.LoadAdmission(
+        room = link_room.LinkRoom(BYTES_S, 0.1, known)
+        decisions = admission.LoadAdmission(
             known,
             room,
             upstream_room.UpstreamRoom(None, 0.1, known),
             fair_shares.FairShares(),
         )
-        gate_ = gate.Gate(self.admission, room, self.recorder)
+        gate_ = gate.Gate(decisions, room, self.recorder)
         if not is_admitting:
             gate_ = gate.Gate(None, None, self.recorder)
         self.entry.forwarder = forwarder.Forwarder(
@@ -149,8 +149,7 @@
             gate=gate_,
         )
         self.entry.run(1.0)
-        self.inbound = Link(bytes_s)
-        self.outbound = Link(bytes_s)
+        self.inbound = Link(BYTES_S)
         self.requests = []
         self.refused = []
         self.paused_until = 0.0
@@ -159,15 +158,15 @@
         self._numbers = itertools.count()
         self._events = []
 
-    def offer(self, rate, start, end, kinds=KINDS, address=None):
+    def offer(self, rate, start, end, address=None):
         """Schedule requests at a mean rate from `start` to `end`."""
         at = start
         while True:
             at += self._rng.expovariate(rate)
             if at >= end:
                 return
-            shares = [kind.share for kind in kinds]
-            (kind,) = self._rng.choices(range(len(kinds)), shares)
+            shares = [kind.share for kind in KINDS]
+            (kind,) = self._rng.choices(range(len(KINDS)), shares)
             caller = self._rng.randrange(200) if address is None else address
             self._at(at, self._begin, Request(kind, caller, at))
 
@@ -183,6 +182,15 @@
                 self._forward(out, self.entry.now)
                 self.entry.deliver(self.entry.follower.tick(self.entry.now))
 
+    def outcomes(self, priority, start, end):
+        """Count outcomes of the requests that began in a period."""
+        return collections.Counter(
+            req.outcome
+            for req in self.requests
+            if start <= req.began_at < end
+            and KINDS[req.kind].priority == priority
+        )
+
     def _at(self, at, call, *args):
         heapq.heappush(self._events, (at, next(self._numbers), call, args))
 
@@ -257,11 +265,10 @@
 
     def _forward(self, out, now, packet=None, request=None, port=None):
         for action in out:
-            self.outbound.send(packets.sent_bytes(action), now)
             if request is None:
                 continue
             if isinstance(action, packets.Reset):
-                self.refused.append((now, packet, request))
+                self.refused.append((now, packet))
                 self._at(now + ONE_WAY_S, self._fail, request, port, "refused")
             elif packet.is_opening:
                 self._at(
@@ -297,15 +304,3 @@
             self._at(at, self._send, ack, request, port)
         end = self._packet(request, port, False, 0, cookie, is_end=True)
         self._at(at + 0.001, self._send, end, request, port)
-
-
-def summary(site, start, end):
-    """Return figures of the requests that began in a period."""
-    chosen = [r for r in site.requests if start <= r.began_at < end]
-    result = {"requests": len(chosen)}
-    for priority in (1, 2):
-        of = [r for r in chosen if KINDS[r.kind].priority == priority]
-        for outcome in ("served", "refused", "unopened", "deadline"):
-            count = sum(r.outcome == outcome for r in of)
-            result[f"{outcome}.{priority}"] = count
-    return result
--- a/tests/test_recorder_live.py
+++ b/tests/test_recorder_live.py
@@ -77,3 +77,14 @@
         assert line in text
     assert 'ebonytally_counts_total{name="storage_tail_cut"} 3' in text
     assert "process_resident_memory_bytes" in text
+
+
+def test_each_reason_of_refused_flows_has_its_own_limit():
+    """Packets without a route would hide refusals under load."""
+    limit = live_recorder.EventRateLimit()
+    refused = events.Event.FLOW_REFUSED
+    for _ in range(100):
+        limit.allow(refused, 5.0, "no_route")
+    assert limit.allow(refused, 5.0, "link")
+    assert limit.pop_suppressed(refused, "link") == 0
+    assert limit.pop_suppressed(refused, "no_route") == 80
