--- a/ebonytally/load/admission.py
+++ b/ebonytally/load/admission.py
@@ -42,6 +42,7 @@
     ) -> interfaces.Verdict:
         """Return the verdict and count the flow as load if it is opened."""
         self._classes.add(opening, now)
+        self._link.settle(now)
         verdict = self.preview(opening, now)
         if verdict.is_admitted:
             self._upstreams.count(opening, now)
--- a/ebonytally/load/classes.py
+++ b/ebonytally/load/classes.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         """Create an empty set of classes."""
         self._seen_at: dict[tuple[int, bool], float] = {}
+        self._levels: dict[tuple[int, bool], Level] = {}
 
     def add(self, opening: interfaces.Opening, now: float) -> None:
         """Remember the class of an opening."""
@@ -42,10 +43,17 @@
         self._seen_at[class_] = now
         if is_new:
             self._forget(now)
+            self._levels = {
+                known: self._level_of(known) for known in self._seen_at
+            }
 
     def level(self, opening: interfaces.Opening) -> Level:
         """Return the level of an opening's class."""
         class_ = _class_of(opening)
+        level = self._levels.get(class_)
+        return self._level_of(class_) if level is None else level
+
+    def _level_of(self, class_: tuple[int, bool]) -> Level:
         if not any(other < class_ for other in self._seen_at):
             return Level.HIGHEST
         if any(other > class_ for other in self._seen_at):
--- a/ebonytally/load/link_room.py
+++ b/ebonytally/load/link_room.py
@@ -133,6 +133,12 @@
         self._slot_at = 0.0
         self._slot_received = 0
 
+    def settle(self, now: float) -> None:
+        """Let time pass, so that further calls at `now` cost less."""
+        if self._bytes_s:
+            self._state = self._at(now)
+            self._pending = 0.0
+
     def pressure(self, opening: interfaces.Opening, now: float) -> float:
         """Return how full the link is for a flow, 1.0 if it has no room."""
         if not self._bytes_s:
@@ -144,7 +150,11 @@
             limits = MAX_OVERLOADED_QUEUE_S
         limit = max(limits[level] * self._bytes_s, MIN_QUEUE_BYTES)
         queue = max(0.0, state.queues[level], state.queues[-1])
-        rate = state.rate / (MIN_RATE_SHARE * self._bytes_s)
+        # With a large reserve the level's own drain is the lower limit.
+        rate = state.rate / min(
+            MIN_RATE_SHARE * self._bytes_s,
+            TARGET_SHARE * self._drains[level],
+        )
         return min(queue / limit, rate)
 
     def reserve(self, opening: interfaces.Opening, now: float) -> None:
@@ -152,7 +162,7 @@
         if not self._bytes_s:
             return
         need = self._needs.of(opening)
-        self._settle(now)
+        self.settle(now)
         level = self._classes.level(opening)
         self._add(self._state, need.early, level)
         self._state.late[level] += need.late
@@ -161,7 +171,7 @@
     def on_refused(self, opening: interfaces.Opening, now: float) -> None:
         """Count the demand of a flow that is refused."""
         need = self._needs.of(opening)
-        self._settle(now)
+        self.settle(now)
         size = REFUSAL_DEMAND * (need.early + need.late)
         self._state.demand += size / DEMAND_WINDOW_S
         if self._state.demand >= OVERLOAD_SHARE * self._bytes_s:
@@ -200,28 +210,27 @@
         if not self._bytes_s:
             return
         self._pending += sent
-        self._settle(now)
+        self.settle(now)
         for level, unused in self._needs.expire(now):
             self._refund(level, unused)
         self._end_slot(now)
         if self._state.demand < OVERLOAD_END_SHARE * self._bytes_s:
             self.is_overloaded = False
 
-    def _settle(self, now: float) -> None:
-        self._state = self._at(now)
-        self._pending = 0.0
-
     def _at(self, now: float) -> _State:
         """Return the state at a time, with the pending bytes."""
         old = self._state
         elapsed = max(0.0, now - old.at)
-        state = attrs.evolve(
-            old,
-            at=max(now, old.at),
-            queues=list(old.queues),
-            late=list(old.late),
-            rate=old.rate * math.exp(-elapsed / RATE_WINDOW_S),
-            demand=old.demand * math.exp(-elapsed / DEMAND_WINDOW_S),
+        if not elapsed and not self._pending:
+            return old
+        state = _State(
+            max(now, old.at),
+            old.queues[:],
+            old.late[:],
+            old.rate * math.exp(-elapsed / RATE_WINDOW_S),
+            old.demand * math.exp(-elapsed / DEMAND_WINDOW_S),
+            old.credit_s,
+            old.credit_until,
         )
         if elapsed > MAX_GAP_S:
             state.credit_s = max(elapsed, state.credit_s)
