--- a/ebonytally/load/link_room.py
+++ b/ebonytally/load/link_room.py
@@ -170,6 +170,8 @@
 
     def on_refused(self, opening: interfaces.Opening, now: float) -> None:
         """Count the demand of a flow that is refused."""
+        if not self._bytes_s:
+            return
         need = self._needs.of(opening)
         self.settle(now)
         size = REFUSAL_DEMAND * (need.early + need.late)
