--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -3,12 +3,19 @@
 from ebonytally import actions
 from ebonytally import deployment as deployments
 from ebonytally.echo import forwarder
+from ebonytally.echo import gate
 from ebonytally.echo import packets
 from ebonytally.echo import placing
 from ebonytally.feed import follower
+from ebonytally.load import admission
+from ebonytally.load import classes
 from ebonytally.load import demand
+from ebonytally.load import fair_shares
 from ebonytally.load import figures
+from ebonytally.load import interfaces
+from ebonytally.load import link_room
 from ebonytally.load import shared_load
+from ebonytally.load import upstream_room
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -62,6 +69,7 @@
             placement,
             recorder,
             (meter,),
+            gate=_gate(deployment, None, recorder),
         )
         self._stopping = False
 
@@ -111,3 +119,25 @@
         self._registry.expire(now)
         messages = self.follower.tick(now) + self.shared_load.tick(now)
         return self.forwarder.tick(now), messages
+
+
+def _gate(
+    deployment: deployments.Deployment,
+    capacity: interfaces.Capacity | None,
+    recorder: recorders.Recorder,
+) -> gate.Gate:
+    """Return the gate for new flows, open without admission."""
+    cfg = deployment.load
+    if not cfg.admission:
+        return gate.Gate(None, None, recorder)
+    known = classes.Classes()
+    link = link_room.LinkRoom(
+        deployment.link_bytes_s, cfg.reserved_share, known
+    )
+    decisions = admission.LoadAdmission(
+        known,
+        link,
+        upstream_room.UpstreamRoom(capacity, cfg.reserved_share, known),
+        fair_shares.FairShares(),
+    )
+    return gate.Gate(decisions, link, recorder)
--- a/ebonytally/platform/node_settings.py
+++ b/ebonytally/platform/node_settings.py
@@ -3,10 +3,12 @@
 import hashlib
 import os
 import tomllib
+import typing
 
 import attrs
 
 from ebonytally import deployment
+from ebonytally.load import settings as load_settings
 from ebonytally.platform import decode
 from ebonytally import settings
 
@@ -22,6 +24,8 @@
 # previous one is lost.
 _REPLACED_AFTER_S = 1.0
 _SNAPSHOT_ENTRIES = 40
+_BYTES_PER_MEGABIT = 125_000
+_T = typing.TypeVar("_T")
 
 
 @attrs.frozen
@@ -45,6 +49,21 @@
     cold_slack: float = 5.0
 
 
+def _check_not_negative(_: object, __: attrs.Attribute, value: float) -> None:
+    if value < 0:
+        raise ValueError(f"must be 0 or more, got {value}")
+
+
+@attrs.frozen
+class _Limits:
+    """What the VM's machine gives it.
+
+    :param link_mbps: megabits a second in each direction, 0 if unknown
+    """
+
+    link_mbps: float = attrs.field(default=0.0, validator=_check_not_negative)
+
+
 @attrs.frozen
 class _File:
     """The fields of the settings file that are used.
@@ -103,6 +122,7 @@
         decode.endpoint(seed, _STEP)[0] for seed in sorted(file.seeds)
     )
     bind = file.bind_addrs
+    limits = _table(raw, "limits", _Limits)
     return deployment.Deployment(
         name=file.node_name,
         role=role,
@@ -117,9 +137,37 @@
         flow_ttl_s=file.bounds.flow_ttl_s,
         cold_slack=file.bounds.cold_slack,
         stop_timeout_s=file.bounds.grace_s / 2,
+        link_bytes_s=limits.link_mbps * _BYTES_PER_MEGABIT,
+        load=_table(raw, "load", load_settings.Load),
     )
 
 
+def _table(raw: dict, name: str, cls: type[_T]) -> _T:
+    """Return a table of the settings file, with errors that name the field.
+
+    :param cls: all its fields have defaults
+    """
+    table = raw.get(name, {})
+    if not isinstance(table, dict):
+        detail = f"expected a table, got {decode.quoted(table)}"
+        raise decode.DecodeError(_STEP, name, detail)
+    result = cls()
+    for field in attrs.fields(cls):
+        key = field.name.replace("_", "-")
+        if key not in table:
+            continue
+        try:
+            value = decode.structure(table[key], field.type, _STEP)
+            result = attrs.evolve(result, **{field.name: value})
+        except decode.DecodeError as exc:
+            raise decode.DecodeError(
+                _STEP, f"{name}.{key}", exc.detail
+            ) from exc
+        except ValueError as exc:
+            raise decode.DecodeError(_STEP, f"{name}.{key}", str(exc)) from exc
+    return result
+
+
 def _endpoint(text: str) -> deployment.Endpoint | None:
     """Return the endpoint of ``ip:port``, None for an empty text."""
     if not text:
