--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -1,5 +1,6 @@
 """Choice of the upstream for a new flow, by estimated load."""
 
+import math
 import random
 
 import attrs
@@ -7,6 +8,7 @@
 from ebonytally.configuration import model
 from ebonytally.echo import upstream_load as loads
 from ebonytally.feed import follower as followers
+from ebonytally.load import interfaces
 from ebonytally.registry import records
 from ebonytally.registry import registry as registries
 
@@ -18,9 +20,25 @@
 REMOTE_PENALTY = 0.8
 # Share of a cold upstream's rate that all entry VMs together use.
 COLD_SHARE = 0.6
+# Extra load per slot of an upstream that fails requests or is full: others
+# with so many requests are preferred, in other data centres as well.
+AVOIDED_PENALTY = 2.0
+# Extra load per slot of a slow upstream by its time to answer, beyond twice
+# the usual one.
+SLOW_PENALTY = 0.5
+# Below this speed an upstream may be avoided.
+AVOIDED_SPEED = 0.9
+# Flows by which all entry VMs together learn whether an avoided upstream
+# has recovered, and the least gap of one entry VM.
+PROBES_PER_S = 5.0
+MIN_PROBE_GAP_S = 1.0
+# Ties break at random by this load per slot.
+TIE_LOAD = 1e-3
 # Upstreams examined for a flow, in the own data centre and elsewhere each.
 # The least loaded of so many is nearly as idle as the least loaded of all.
 MAX_EXAMINED = 24
+AVOIDED = (interfaces.Condition.FAILING, interfaces.Condition.FULL)
+PROBED = (*AVOIDED, interfaces.Condition.SLOW)
 
 
 @attrs.define
@@ -54,18 +72,21 @@
         cold_slack: float,
         data_centre: str,
         seed: int,
+        capacity: interfaces.Capacity | None = None,
     ) -> None:
         """Create a chooser with no load.
 
         :param cold_slack: requests a second that any cold upstream can
             take in addition to its service's rate
         :param data_centre: data centre of this entry VM and of its callers
+        :param capacity: None takes all upstreams as equal
         """
         self._registry = registry
         self._follower = follower
         self._cold_slack = cold_slack
         self._data_centre = data_centre
         self._rng = random.Random(seed)
+        self._capacity = capacity
         self._loads: dict[str, loads.UpstreamLoad] = {}
         self._candidates: dict[str, _Candidates] = {}
         # Revision, configuration version and data centres out of which
@@ -118,7 +139,11 @@
             return None
         usable = self._usable(candidates, tried, now)
         warm = [entry for entry in usable if entry.cold_until <= now]
-        best = self._least_loaded(warm)
+        if not tried and self._capacity is not None:
+            probed = self._probe_due(warm, now)
+            if probed is not None:
+                return probed.record
+        best = self._least_loaded(warm, now)
         if best is None or self._rng.random() * len(usable) > len(warm):
             best = self._cold_due(service, usable, now) or best
         if best is None:
@@ -127,7 +152,8 @@
                     entry
                     for entry in candidates.all()
                     if entry.cold_until <= now and entry.record.id not in tried
-                ]
+                ],
+                now,
             )
         return best.record if best is not None else None
 
@@ -202,9 +228,13 @@
         return by_service
 
     def _least_loaded(
-        self, entries: list[registries.Entry]
+        self, entries: list[registries.Entry], now: float
     ) -> registries.Entry | None:
-        """Return the entry with the least load per slot, None for none."""
+        """Return the entry with the least load per slot, None for none.
+
+        Slots count by the upstream's speed. Among equal loads the shares
+        are in proportion to the speeds.
+        """
         best = None
         lowest = 0.0
         for entry in entries:
@@ -212,10 +242,11 @@
             weighted_load = (
                 load.busy + load.opening + OPEN_FLOW_LOAD * load.flows
             )
+            speed, penalty = self._speed_and_penalty(entry.record.id, now)
             # Ties break at random, or all entry VMs would choose the same.
-            score = (
-                weighted_load / entry.record.slots + self._rng.random() * 1e-3
-            )
+            tie_load = -math.log(1.0 - self._rng.random()) * TIE_LOAD
+            score = weighted_load / entry.record.slots + tie_load
+            score = score / speed + penalty
             if entry.record.data_centre != self._data_centre:
                 score += REMOTE_PENALTY
             if best is None or score < lowest:
@@ -223,6 +254,41 @@
                 lowest = score
         return best
 
+    def _speed_and_penalty(self, id_: str, now: float) -> tuple[float, float]:
+        """Return an upstream's speed and the extra load per slot."""
+        if self._capacity is None:
+            return 1.0, 0.0
+        speed = self._capacity.speed(id_, now)
+        if speed >= AVOIDED_SPEED:
+            return speed, 0.0
+        condition = self._capacity.condition(id_, now)
+        if condition in AVOIDED:
+            return speed, AVOIDED_PENALTY
+        return speed, max(0.0, SLOW_PENALTY * (1.0 / speed - 2.0))
+
+    def _probe_due(
+        self, entries: list[registries.Entry], now: float
+    ) -> registries.Entry | None:
+        """Return an avoided upstream that may be tried now, or None."""
+        for entry in entries:
+            id_ = entry.record.id
+            if self._capacity.speed(id_, now) >= AVOIDED_SPEED:
+                continue
+            if self._capacity.condition(id_, now) not in PROBED:
+                continue
+            load = self.load(id_)
+            gap_s = max(
+                MIN_PROBE_GAP_S,
+                self._follower.view.entry_vms / PROBES_PER_S,
+            )
+            if load.probe_next_at < now - gap_s:
+                # Random, so that entry VMs don't probe at the same time.
+                load.probe_next_at = now + gap_s * self._rng.random()
+            if load.probe_next_at <= now:
+                load.probe_next_at = now + gap_s
+                return entry
+        return None
+
     def _cold_due(
         self,
         service: str,
--- a/ebonytally/echo/upstream_load.py
+++ b/ebonytally/echo/upstream_load.py
@@ -27,6 +27,7 @@
     :param backed_off_until: until when other upstreams are preferred
     :param silences: consecutive opening packets without an answer
     :param cold_next_at: when it may get its next flow while cold
+    :param probe_next_at: when it may get its next flow while avoided
     """
 
     busy: int = 0
@@ -36,6 +37,7 @@
     backed_off_until: float = -1e9
     silences: int = 0
     cold_next_at: float = -1e9
+    probe_next_at: float = -1e9
 
     @property
     def is_unused(self) -> bool:
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -6,6 +6,7 @@
 from ebonytally.echo import packets
 from ebonytally.echo import placing
 from ebonytally.feed import follower
+from ebonytally.load import capacity
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -36,18 +37,21 @@
             self._registry,
             recorder,
         )
+        self._capacity = capacity.Capacity(self._registry, recorder)
         placement = placing.Placing(
             self._registry,
             self.follower,
             deployment.cold_slack,
             deployment.cfg.data_centre,
             seed,
+            self._capacity,
         )
         self.forwarder = forwarder.Forwarder(
             self._registry,
             self.follower,
             placement,
             recorder,
+            (self._capacity,),
         )
         self._stopping = False
 
@@ -94,4 +98,5 @@
         :return: packets to send, and messages to control VMs
         """
         self._registry.expire(now)
+        self._capacity.tick(now)
         return self.forwarder.tick(now), self.follower.tick(now)
--- a/ebonytally/live_recorder.py
+++ b/ebonytally/live_recorder.py
@@ -22,6 +22,7 @@
     events.Event.TASK_FAILED,
     events.Event.REQUEST_REFUSED,
     events.Event.ANNOUNCEMENT_REFUSED,
+    events.Event.UPSTREAM_CONDITION,
     events.Event.TOKEN_REFUSED,
     events.Event.OPERATOR_REQUEST_REFUSED,
 )
--- /dev/null
+++ b/ebonytally/load/estimate.py
@@ -0,0 +1,273 @@
+"""Estimate of one incarnation of an upstream.
+
+Load conditions: an upstream that is slower or faster than the others of its
+service, one that fails a share of its requests, and one that is full.
+"""
+
+import collections
+import math
+
+import attrs
+
+from ebonytally.load import decay
+from ebonytally.load import interfaces
+from ebonytally.load import service_times
+
+# Bounds of a speed. The least keeps a share to learn from.
+MIN_SPEED = 0.05
+MAX_SPEED = 2.5
+# The logarithm of a time to answer is cut at 20 times the usual one.
+MAX_LOG = 3.0
+# A mean that differs by less than this many standard errors is chance.
+CHANCE_ERRORS = 1.8
+# Weight of samples, without the longest time, that can make one slow.
+MIN_WEIGHT = 0.25
+# Requests that count as good in addition to those seen.
+GOOD_BEFORE = 2.0
+# A share counts beyond that of the others of the service, times this.
+OTHERS_MARGIN = 1.5
+# Requests of the other upstreams without which there is no comparison.
+MIN_OTHERS = 3.0
+# Failures, aged, below which no upstream is avoided: two within seconds.
+MIN_FAILURES = 1.3
+AVOIDED_SHARE = 0.2
+# A smaller share of failures counts as none.
+MIN_SHARE = 0.01
+SLOW_SPEED = 0.4
+# An upstream stays avoided until it has improved by this factor.
+HYSTERESIS = 1.5
+# Requests without an answer by this multiple of the usual time have failed,
+# within the bounds: 3% of good requests take 7 times as long.
+UNANSWERED_TIMES = 12.0
+MIN_UNANSWERED_S = 0.5
+MAX_UNANSWERED_S = 5.0
+# An unanswered request is remembered for so long.
+RUNNING_KEPT_S = 10.0
+MAX_ANSWERED = 64
+SAME_TIME_S = 1e-6
+Incarnation = tuple[str, int, int]
+AVOIDED = frozenset(
+    {
+        interfaces.Condition.SLOW,
+        interfaces.Condition.FAILING,
+        interfaces.Condition.FULL,
+    }
+)
+
+
+@attrs.define
+class Running:
+    """A request without an answer.
+
+    :param ahead: requests of this entry VM that it found at the upstream
+    :param is_counted: it has been counted as failed
+    """
+
+    began_at: float
+    ahead: int
+    is_counted: bool = False
+
+
+@attrs.define
+class Estimate:
+    """Own observations of an upstream, and what others suspect.
+
+    :param incarnation: address, port and start
+    :param slots: requests that it can run concurrently
+    :param times: logarithms of times to answer, less the service's
+    :param peak: the greatest of them that still has weight, seen `peak_at`
+    :param bad: requests, 1 for one that failed
+    :param rejected: requests, 1 for one rejected for lack of room
+    :param silent: openings, 1 for one without an answer
+    :param running: requests without an answer, oldest first
+    :param answered: times to answer of requests that haven't ended
+    :param shared: suspicion of other entry VMs, seen at `shared_at`
+    :param observed_at: time of the latest observation, seconds
+    :param pace: relative speed of the requests that it answers
+    :param failing: share of its requests that fail beyond the usual
+    """
+
+    incarnation: Incarnation
+    service: str
+    slots: int
+    times: decay.Decayed = attrs.field(
+        factory=lambda: decay.Decayed(service_times.HALF_LIFE_S)
+    )
+    peak: float = 0.0
+    peak_at: float = -1e9
+    bad: decay.Decayed = attrs.field(
+        factory=lambda: decay.Decayed(service_times.HALF_LIFE_S)
+    )
+    rejected: decay.Decayed = attrs.field(
+        factory=lambda: decay.Decayed(service_times.FULL_HALF_LIFE_S)
+    )
+    silent: decay.Decayed = attrs.field(
+        factory=lambda: decay.Decayed(service_times.HALF_LIFE_S)
+    )
+    running: list[Running] = attrs.field(factory=list)
+    answered: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_ANSWERED)
+    )
+    shared: interfaces.Suspicion | None = None
+    shared_at: float = 0.0
+    observed_at: float = 0.0
+    pace: float = 1.0
+    failing: float = 0.0
+    speed: float = 1.0
+    condition: interfaces.Condition = interfaces.Condition.UNKNOWN
+
+    # Samples
+
+    def begin(self, now: float) -> None:
+        """Add a request."""
+        self.running.append(Running(now, len(self.running)))
+
+    def take(self, began_at: float) -> Running | None:
+        """Remove and return the request that began then, if it is known."""
+        for index, request in enumerate(self.running):
+            if abs(request.began_at - began_at) < SAME_TIME_S:
+                return self.running.pop(index)
+        return None
+
+    def waiting_factor(self, ahead: int) -> float:
+        """Return the usual time of a request behind others, 1 for none."""
+        return 1.0 + max(0, ahead + 1 - self.slots) / self.slots
+
+    def add_time(
+        self, took_s: float, times: service_times.ServiceTimes, now: float
+    ) -> None:
+        """Add a time to answer.
+
+        :param took_s: without the wait for this VM's requests ahead
+        """
+        reference = times.answers.value
+        times.answers.add(took_s, now)
+        if reference is None:
+            return
+        sample = math.log(took_s / reference)
+        sample = min(max(sample, -MAX_LOG), MAX_LOG)
+        self.times.age(now)
+        if self.times.weight > 1.0:
+            residual = sample - self.times.mean()
+            residual = min(abs(residual), service_times.MAX_RESIDUAL)
+            share = self.times.weight / (self.times.weight + 1.0)
+            times.variances.add(residual * residual * share, now)
+        self.times.add(sample, now)
+        times.residuals.add(sample, now)
+        if sample >= self.peak * self._peak_weight(now):
+            self.peak = sample
+            self.peak_at = now
+
+    # Conclusions
+
+    def update(self, times: service_times.ServiceTimes, now: float) -> None:
+        """Conclude speed and condition from the samples at `now`."""
+        self.pace = math.exp(-self._log_slowness(times, now))
+        self.pace = min(max(self.pace, MIN_SPEED), MAX_SPEED)
+        self.failing = max(
+            _excess(self.bad, times.bad, now),
+            _excess(self.silent, times.silent, now),
+        )
+        full = _excess(self.rejected, times.rejected, now)
+        pace, failing = self._with_shared(now)
+        speed = pace * (1.0 - failing) * (1.0 - full)
+        self.speed = max(speed, MIN_SPEED)
+        self.condition = self._conclude(pace, failing, full)
+
+    def is_remarkable(self) -> bool:
+        """Return whether ageing alone may change the conclusions."""
+        return self.speed != 1.0 or self.condition in AVOIDED
+
+    def _conclude(
+        self, pace: float, failing: float, full: float
+    ) -> interfaces.Condition:
+        was = self.condition
+        worst = max(self.bad.total, self.silent.total)
+        if self._is_avoided(
+            failing, worst, was == interfaces.Condition.FAILING
+        ):
+            return interfaces.Condition.FAILING
+        if self._is_avoided(
+            full, self.rejected.total, was == interfaces.Condition.FULL
+        ):
+            return interfaces.Condition.FULL
+        is_slow = was == interfaces.Condition.SLOW
+        if pace < SLOW_SPEED * (HYSTERESIS if is_slow else 1.0):
+            return interfaces.Condition.SLOW
+        if self.times.weight + self.bad.weight < 1.0:
+            return interfaces.Condition.UNKNOWN
+        return interfaces.Condition.NORMAL
+
+    def _is_avoided(self, share: float, count: float, was: bool) -> bool:
+        if was:
+            return share >= AVOIDED_SHARE / HYSTERESIS
+        is_known = count >= MIN_FAILURES or (
+            self.shared is not None and self.shared.failing > 0.0
+        )
+        return is_known and share >= AVOIDED_SHARE
+
+    def _with_shared(self, now: float) -> tuple[float, float]:
+        """Return pace and failing share, the worse of own and others'.
+
+        The weight of others' suspicions ends gradually, so that not all
+        entry VMs come back at the same moment.
+        """
+        if self.shared is None:
+            return self.pace, self.failing
+        weight = math.exp2(
+            (self.shared_at - now) / service_times.FULL_HALF_LIFE_S
+        )
+        if weight < MIN_SPEED:
+            self.shared = None
+            return self.pace, self.failing
+        shared_pace = max(self.shared.slowdown, 1.0) ** -weight
+        return (
+            min(self.pace, max(shared_pace, MIN_SPEED)),
+            max(self.failing, weight * min(self.shared.failing, 1.0)),
+        )
+
+    def _log_slowness(
+        self, times: service_times.ServiceTimes, now: float
+    ) -> float:
+        """Return the logarithm of its time relative to the service's.
+
+        It is 0 while chance may explain the difference. The longest time
+        doesn't make an upstream slow: 3% of good requests take as long.
+        """
+        self.times.age(now)
+        times.residuals.age(now)
+        weight = self.times.weight
+        if weight < MIN_WEIGHT:
+            return 0.0
+        usual = times.residuals.mean()
+        mean = self.times.mean() - usual
+        if mean > 0.0:
+            peak_weight = min(self._peak_weight(now), weight)
+            weight -= peak_weight
+            if weight < MIN_WEIGHT:
+                return 0.0
+            total = self.times.total - peak_weight * self.peak
+            mean = max(0.0, total / weight - usual)
+        errors = abs(mean) * math.sqrt(weight) / times.deviation()
+        if errors <= CHANCE_ERRORS:
+            return 0.0
+        return mean * (1.0 - (CHANCE_ERRORS / errors) ** 2)
+
+    def _peak_weight(self, now: float) -> float:
+        aged_s = now - self.peak_at
+        return math.exp2(-aged_s / service_times.HALF_LIFE_S)
+
+
+def _excess(own: decay.Decayed, service: decay.Decayed, now: float) -> float:
+    """Return the share of failures beyond that of the service's others."""
+    if not own.total:
+        return 0.0
+    own.age(now)
+    service.age(now)
+    others = service.weight - own.weight
+    if others < MIN_OTHERS:
+        return 0.0
+    others_share = max(0.0, service.total - own.total) / others
+    usual = OTHERS_MARGIN * others_share * own.weight
+    share = (own.total - usual) / (own.weight + GOOD_BEFORE)
+    return share if share >= MIN_SHARE else 0.0
--- a/tests/echo_callers.py
+++ b/tests/echo_callers.py
@@ -52,6 +52,7 @@
             while self._events and self._events[0][0] <= self.entry.now:
                 now, _, call, args = heapq.heappop(self._events)
                 call(now, *args)
+            self.entry.capacity.tick(self.entry.now)
             for out in self.entry.forwarder.tick(self.entry.now):
                 self._deliver(self.entry.now, out)
             self.entry.deliver(self.entry.follower.tick(self.entry.now))
--- a/tests/echo_harness.py
+++ b/tests/echo_harness.py
@@ -11,6 +11,7 @@
 from ebonytally.feed import follower
 from ebonytally.feed import messages
 from ebonytally.feed import server
+from ebonytally.load import capacity
 from ebonytally import recorder as recorders
 from ebonytally.registry import records
 from ebonytally.registry import registry as registries
@@ -112,14 +113,16 @@
             self.registry,
             self.recorder,
         )
+        self.capacity = capacity.Capacity(self.registry, self.recorder)
         self.placing = placing.Placing(
-            self.registry, self.follower, 5.0, home, seed
+            self.registry, self.follower, 5.0, home, seed, self.capacity
         )
         self.forwarder = forwarder.Forwarder(
             self.registry,
             self.follower,
             self.placing,
             self.recorder,
+            (self.capacity,),
         )
         self.now = 0.0
         self.sent = []
@@ -128,6 +131,7 @@
         """Advance the clock by ticks of 20 ms."""
         for _ in range(round(seconds / 0.02)):
             self.now += 0.02
+            self.capacity.tick(self.now)
             self.sent += self.forwarder.tick(self.now)
             self.deliver(self.follower.tick(self.now))
 
