--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -30,15 +30,16 @@
 AVOIDED_SPEED = 0.9
 # Flows by which all entry VMs together learn whether an avoided upstream
 # has recovered, and the least gap of one entry VM.
-PROBES_PER_S = 5.0
+PROBES_PER_S = 2.0
 MIN_PROBE_GAP_S = 1.0
 # Ties break at random by this load per slot.
 TIE_LOAD = 1e-3
 # Upstreams examined for a flow, in the own data centre and elsewhere each.
 # The least loaded of so many is nearly as idle as the least loaded of all.
 MAX_EXAMINED = 24
-AVOIDED = (interfaces.Condition.FAILING, interfaces.Condition.FULL)
-PROBED = (*AVOIDED, interfaces.Condition.SLOW)
+_SLOW = interfaces.Condition.SLOW
+_FAILING = interfaces.Condition.FAILING
+_FULL = interfaces.Condition.FULL
 
 
 @attrs.define
@@ -139,10 +140,9 @@
             return None
         usable = self._usable(candidates, tried, now)
         warm = [entry for entry in usable if entry.cold_until <= now]
-        if not tried and self._capacity is not None:
-            probed = self._probe_due(warm, now)
-            if probed is not None:
-                return probed.record
+        probed = None if tried else self._probe_due(warm, now)
+        if probed is not None:
+            return probed.record
         best = self._least_loaded(warm, now)
         if best is None or self._rng.random() * len(usable) > len(warm):
             best = self._cold_due(service, usable, now) or best
@@ -237,16 +237,23 @@
         """
         best = None
         lowest = 0.0
+        capacity = self._capacity
+        random_share = self._rng.random
         for entry in entries:
             load = self.load(entry.record.id)
             weighted_load = (
                 load.busy + load.opening + OPEN_FLOW_LOAD * load.flows
             )
-            speed, penalty = self._speed_and_penalty(entry.record.id, now)
             # Ties break at random, or all entry VMs would choose the same.
-            tie_load = -math.log(1.0 - self._rng.random()) * TIE_LOAD
-            score = weighted_load / entry.record.slots + tie_load
-            score = score / speed + penalty
+            score = (
+                weighted_load / entry.record.slots
+                - math.log(1.0 - random_share()) * TIE_LOAD
+            )
+            if capacity is not None:
+                speed = capacity.speed(entry.record.id, now)
+                score /= speed
+                if speed < AVOIDED_SPEED:
+                    score += self._penalty(entry.record.id, speed, now)
             if entry.record.data_centre != self._data_centre:
                 score += REMOTE_PENALTY
             if best is None or score < lowest:
@@ -254,27 +261,27 @@
                 lowest = score
         return best
 
-    def _speed_and_penalty(self, id_: str, now: float) -> tuple[float, float]:
-        """Return an upstream's speed and the extra load per slot."""
-        if self._capacity is None:
-            return 1.0, 0.0
-        speed = self._capacity.speed(id_, now)
-        if speed >= AVOIDED_SPEED:
-            return speed, 0.0
-        condition = self._capacity.condition(id_, now)
-        if condition in AVOIDED:
-            return speed, AVOIDED_PENALTY
-        return speed, max(0.0, SLOW_PENALTY * (1.0 / speed - 2.0))
+    def _penalty(self, id_: str, speed: float, now: float) -> float:
+        """Return the extra load per slot of a slow or failing upstream."""
+        condition = interfaces.Condition.UNKNOWN
+        if self._capacity is not None:
+            condition = self._capacity.condition(id_, now)
+        if condition is _SLOW or not _is_avoided(condition):
+            return max(0.0, SLOW_PENALTY * (1.0 / speed - 2.0))
+        return AVOIDED_PENALTY
 
     def _probe_due(
         self, entries: list[registries.Entry], now: float
     ) -> registries.Entry | None:
         """Return an avoided upstream that may be tried now, or None."""
+        capacity = self._capacity
+        if capacity is None:
+            return None
         for entry in entries:
             id_ = entry.record.id
-            if self._capacity.speed(id_, now) >= AVOIDED_SPEED:
+            if capacity.speed(id_, now) >= AVOIDED_SPEED:
                 continue
-            if self._capacity.condition(id_, now) not in PROBED:
+            if not _is_avoided(capacity.condition(id_, now)):
                 continue
             load = self.load(id_)
             gap_s = max(
@@ -322,6 +329,10 @@
         return self._cold_slack
 
 
+def _is_avoided(condition: interfaces.Condition) -> bool:
+    return condition is _SLOW or condition is _FAILING or condition is _FULL
+
+
 def _sample(
     entries: list[registries.Entry], rng: random.Random
 ) -> list[registries.Entry]:
--- a/ebonytally/load/answer_sizes.py
+++ b/ebonytally/load/answer_sizes.py
@@ -19,7 +19,9 @@
 SMALL_SHARE = 1 / 8
 # An error page fits into one packet.
 MAX_ERROR_BYTES = 1200
-# While most answers are error pages the usual size falls no faster.
+# A fall of the usual size by more than this factor may come from error
+# pages: then it falls no faster than by half in this time.
+COLLAPSE = 4.0
 USUAL_HALF_LIFE_S = 30.0
 MAX_ROUTES = 2000
 
@@ -51,9 +53,11 @@
     def _update_usual(self, now: float) -> None:
         ordered = sorted(self.sizes)
         recent = ordered[int(USUAL_QUANTILE * (len(ordered) - 1))]
-        aged_s = now - self.usual_at
-        self.usual *= math.exp2(-aged_s / USUAL_HALF_LIFE_S)
-        self.usual = max(self.usual, recent)
+        if recent * COLLAPSE < self.usual:
+            aged_s = now - self.usual_at
+            self.usual *= math.exp2(-aged_s / USUAL_HALF_LIFE_S)
+        else:
+            self.usual = recent
         self.usual_at = now
 
 
--- a/ebonytally/load/capacity.py
+++ b/ebonytally/load/capacity.py
@@ -149,8 +149,11 @@
             return
         times = self._times(known)
         if not times.is_quick(took_s, now):
-            took_s = max(took_s, 1e-6) / known.waiting_factor(request.ahead)
-            known.add_time(took_s, times, now)
+            work_s = times.without_way(took_s, now)
+            # Some of the requests ahead were on the way.
+            ahead = request.ahead * work_s / max(took_s, work_s)
+            work_s /= known.waiting_factor(ahead)
+            known.add_time(work_s, times, now)
             self._conclude(upstream, known, now)
 
     def on_request_end(
@@ -248,7 +251,7 @@
     ) -> None:
         """Count the end of a request."""
         times = self._times(known)
-        known.bad.add(bad, now)
+        known.add_bad(bad, now)
         times.bad.add(bad, now)
         known.rejected.add(rejected, now)
         times.rejected.add(rejected, now)
@@ -332,13 +335,12 @@
     def _current(self, upstream: str) -> estimates.Estimate | None:
         """Return the estimate of an upstream's present incarnation."""
         known = self._estimates.get(upstream)
-        if known is None:
-            return None
-        entry = self._registry.get(upstream)
-        if entry is None:
+        if known is None or known.revision == self._registry.revision:
             return known
-        if known.incarnation != _incarnation_of(entry):
+        entry = self._registry.get(upstream)
+        if entry is None or known.incarnation != _incarnation_of(entry):
             return None
+        known.revision = self._registry.revision
         return known
 
     def _known(self, upstream: str, now: float) -> estimates.Estimate | None:
@@ -351,7 +353,10 @@
         if known is None or known.incarnation != incarnation:
             record = entry.record
             known = estimates.Estimate(
-                incarnation, record.service, max(1, record.slots)
+                incarnation,
+                record.service,
+                max(1, record.slots),
+                self._registry.revision,
             )
             self._estimates[upstream] = known
         known.observed_at = now
--- a/ebonytally/load/estimate.py
+++ b/ebonytally/load/estimate.py
@@ -19,7 +19,10 @@
 # The logarithm of a time to answer is cut at 20 times the usual one.
 MAX_LOG = 3.0
 # A mean that differs by less than this many standard errors is chance.
-CHANCE_ERRORS = 1.8
+CHANCE_ERRORS = 1.5
+# Recent samples that differ from all by more standard errors than this
+# replace them: the upstream has changed.
+CHANGE_ERRORS = 3.5
 # Weight of samples, without the longest time, that can make one slow.
 MIN_WEIGHT = 0.25
 # Requests that count as good in addition to those seen.
@@ -74,9 +77,12 @@
 
     :param incarnation: address, port and start
     :param slots: requests that it can run concurrently
+    :param revision: of the registry when it had this incarnation
     :param times: logarithms of times to answer, less the service's
     :param peak: the greatest of them that still has weight, seen `peak_at`
+    :param recent_times: the same with a short memory
     :param bad: requests, 1 for one that failed
+    :param recent_bad: the same with a short memory
     :param rejected: requests, 1 for one rejected for lack of room
     :param silent: openings, 1 for one without an answer
     :param running: requests without an answer, oldest first
@@ -90,6 +96,7 @@
     incarnation: Incarnation
     service: str
     slots: int
+    revision: int
     times: decay.Decayed = attrs.field(
         factory=lambda: decay.Decayed(service_times.HALF_LIFE_S)
     )
@@ -98,6 +105,12 @@
     bad: decay.Decayed = attrs.field(
         factory=lambda: decay.Decayed(service_times.HALF_LIFE_S)
     )
+    recent_times: decay.Decayed = attrs.field(
+        factory=lambda: decay.Decayed(service_times.RECENT_TIMES_HALF_LIFE_S)
+    )
+    recent_bad: decay.Decayed = attrs.field(
+        factory=lambda: decay.Decayed(service_times.RECENT_BAD_HALF_LIFE_S)
+    )
     rejected: decay.Decayed = attrs.field(
         factory=lambda: decay.Decayed(service_times.FULL_HALF_LIFE_S)
     )
@@ -129,16 +142,18 @@
                 return self.running.pop(index)
         return None
 
-    def waiting_factor(self, ahead: int) -> float:
+    def waiting_factor(self, ahead: float) -> float:
         """Return the usual time of a request behind others, 1 for none."""
-        return 1.0 + max(0, ahead + 1 - self.slots) / self.slots
+        # Of the running ones, the first ends after a share of their time.
+        first_end = self.slots / (self.slots + 1)
+        return 1.0 + max(0.0, ahead - self.slots + first_end) / self.slots
 
     def add_time(
         self, took_s: float, times: service_times.ServiceTimes, now: float
     ) -> None:
         """Add a time to answer.
 
-        :param took_s: without the wait for this VM's requests ahead
+        :param took_s: without the way and the wait for this VM's requests
         """
         reference = times.answers.value
         times.answers.add(took_s, now)
@@ -154,9 +169,35 @@
             times.variances.add(residual * residual * share, now)
         self.times.add(sample, now)
         times.residuals.add(sample, now)
-        if sample >= self.peak * self._peak_weight(now):
+        self.recent_times.add(sample, now)
+        if sample >= self.peak * self._peak_weight(self.times, now):
             self.peak = sample
             self.peak_at = now
+        self._forget_old_times(times)
+
+    def add_bad(self, bad: float, now: float) -> None:
+        """Add the end of a request, 1 for one that failed."""
+        self.bad.add(bad, now)
+        self.recent_bad.add(bad, now)
+        recent, old = self.recent_bad, self.bad
+        if (
+            recent.total >= MIN_FAILURES
+            and recent.total >= AVOIDED_SHARE * (recent.weight + GOOD_BEFORE)
+            and recent.weight < old.weight
+        ):
+            old.weight, old.total = recent.weight, recent.total
+
+    def _forget_old_times(self, times: service_times.ServiceTimes) -> None:
+        """Replace the times by the recent ones after a change."""
+        now = self.recent_times.at
+        total, weight = self._without_peak(self.recent_times, now)
+        if weight < 1.0:
+            return
+        difference = abs(total / weight - self.times.mean())
+        errors = difference * math.sqrt(weight) / times.deviation()
+        if errors > CHANGE_ERRORS:
+            self.times.total = self.recent_times.total
+            self.times.weight = self.recent_times.weight
 
     # Conclusions
 
@@ -242,20 +283,24 @@
         usual = times.residuals.mean()
         mean = self.times.mean() - usual
         if mean > 0.0:
-            peak_weight = min(self._peak_weight(now), weight)
-            weight -= peak_weight
+            total, weight = self._without_peak(self.times, now)
             if weight < MIN_WEIGHT:
                 return 0.0
-            total = self.times.total - peak_weight * self.peak
             mean = max(0.0, total / weight - usual)
         errors = abs(mean) * math.sqrt(weight) / times.deviation()
         if errors <= CHANCE_ERRORS:
             return 0.0
         return mean * (1.0 - (CHANCE_ERRORS / errors) ** 2)
 
-    def _peak_weight(self, now: float) -> float:
-        aged_s = now - self.peak_at
-        return math.exp2(-aged_s / service_times.HALF_LIFE_S)
+    def _without_peak(
+        self, sums: decay.Decayed, now: float
+    ) -> tuple[float, float]:
+        """Return total and weight of times without the longest one."""
+        weight = min(self._peak_weight(sums, now), sums.weight)
+        return sums.total - weight * self.peak, sums.weight - weight
+
+    def _peak_weight(self, sums: decay.Decayed, now: float) -> float:
+        return math.exp2((self.peak_at - now) / sums.half_life_s)
 
 
 def _excess(own: decay.Decayed, service: decay.Decayed, now: float) -> float:
--- a/ebonytally/load/service_times.py
+++ b/ebonytally/load/service_times.py
@@ -15,7 +15,12 @@
 # Samples of the reference. It follows a change after half of them.
 MAX_SAMPLES = 21
 MIN_SAMPLES = 5
+# The way is at most the rest of a time to answer.
+MIN_WORK_SHARE = 0.1
 HALF_LIFE_S = 6.0
+# Memories in which a change of an upstream shows soon.
+RECENT_TIMES_HALF_LIFE_S = 1.5
+RECENT_BAD_HALF_LIFE_S = 0.7
 # A full queue of an upstream is empty again in less than a second.
 FULL_HALF_LIFE_S = 2.0
 # Admission has to react to rejections within a second.
@@ -67,7 +72,7 @@
     """What the upstreams of one service do together.
 
     :param openings: median time of openings, seconds: the way to and fro
-    :param answers: median time to answer, seconds
+    :param answers: median time to answer without the way, seconds
     :param residuals: logarithms of times to answer, less the reference
     :param variances: squared deviations from the upstream's own mean
     :param bad: requests, 1 for one that failed
@@ -106,10 +111,12 @@
 
     def service_time_s(self, now: float) -> float | None:
         """Return the time of a request without waiting and without the way."""
-        answer_s = self.answers.floor(now)
-        if answer_s is None:
-            return None
-        return max(0.001, answer_s - (self.openings.floor(now) or 0.0))
+        return self.answers.floor(now)
+
+    def without_way(self, took_s: float, now: float) -> float:
+        """Return a time to answer without the time on the way, seconds."""
+        way_s = self.openings.floor(now) or 0.0
+        return max(took_s - way_s, MIN_WORK_SHARE * took_s, 1e-6)
 
     def is_quick(self, took_s: float, now: float) -> bool:
         """Return whether an answer came too early to be the work's result."""
--- a/tests/echo_harness.py
+++ b/tests/echo_harness.py
@@ -77,6 +77,7 @@
             name, start, self.registry, self.machine, (), 0.0
         )
         self.in_touch = True
+        self.followers = 1
         self.names = (name,)
 
     def apply_configuration(self, version, content=CONTENT):
@@ -89,7 +90,7 @@
         """Handle a message of an entry VM; return the replies."""
         if isinstance(msg, messages.Poll):
             return self.source.handle_poll(
-                peer, msg, self.names, self.in_touch, 1, now
+                peer, msg, self.names, self.in_touch, self.followers, now
             )
         return self.source.handle_part_wanted(peer, msg)
 
@@ -100,7 +101,7 @@
     `unreachable` names the control VMs whose messages are lost.
     """
 
-    def __init__(self, name, control_vms, seed=1, home="north"):
+    def __init__(self, name, control_vms, seed=1, home="north", shared=None):
         self.name = name
         self.recorder = recorders.MemoryRecorder()
         self.control_vms = {
@@ -113,7 +114,7 @@
             self.registry,
             self.recorder,
         )
-        self.capacity = capacity.Capacity(self.registry, self.recorder)
+        self.capacity = capacity.Capacity(self.registry, self.recorder, shared)
         self.placing = placing.Placing(
             self.registry, self.follower, 5.0, home, seed, self.capacity
         )
