--- a/ebonytally/load/capacity.py
+++ b/ebonytally/load/capacity.py
@@ -28,6 +28,7 @@
 # Rejections by one upstream while the others reject less than this share
 # have another reason than lack of room.
 LONE_SHARE = 0.02
+LONE_DELAY_S = 0.5
 # Own estimates worth telling other entry VMs.
 TOLD_SLOWDOWN = 1.8
 TOLD_FAILING = 0.1
@@ -171,16 +172,18 @@
         if not answer_bytes:
             self._on_no_answer(upstream, known, now)
             return
-        took_s = known.answered.popleft() if known.answered else None
         is_small = self._sizes.is_small(service_address, answer_bytes, now)
+        took_s = known.take_answered(is_small)
         if not is_small:
             self._count(upstream, known, 0.0, 0.0, now)
             return
         times = self._times(known)
         is_quick = took_s is not None and times.is_quick(took_s, now)
-        if is_quick and not self._is_alone(known, now):
+        if is_quick:
             self._recorder.count("answers_rejected")
             self._count(upstream, known, 0.0, 1.0, now)
+            if self._is_alone(known, now):
+                known.lone_at.append(now)
         else:
             self._recorder.count("answers_small")
             self._count(upstream, known, 1.0, 0.0, now)
@@ -193,6 +196,7 @@
             return
         self._updated_at = now
         self._count_unanswered(now)
+        self._count_lone(now)
         for upstream, suspicion in self._shared.current(now).items():
             known = self._known(upstream, now)
             if known is not None:
@@ -228,9 +232,11 @@
         """Return whether an upstream rejects requests without a reason.
 
         It has one if it is slow, if it has many requests of this VM, or if
-        others of its service reject too.
+        others of its service reject too or have queues.
         """
         times = self._times(known)
+        if times.is_strained(now):
+            return False
         times.rejected.age(now)
         known.rejected.age(now)
         others = times.rejected.weight - known.rejected.weight
@@ -259,6 +265,18 @@
         if known.bad.total or known.rejected.total:
             self._conclude(upstream, known, now)
 
+    def _count_lone(self, now: float) -> None:
+        """Count lone rejections as failures.
+
+        At the beginning of a burst one upstream is full first; soon after,
+        others are, and then its rejections weren't failures.
+        """
+        for known in self._estimates.values():
+            count = known.take_lone(now - LONE_DELAY_S) if known.lone_at else 0
+            if count and self._is_alone(known, now):
+                known.count_as_bad(count, now)
+                self._times(known).bad.total += count
+
     def _count_unanswered(self, now: float) -> None:
         """Count requests that should have been answered long ago."""
         for upstream, known in self._estimates.items():
--- a/ebonytally/load/estimate.py
+++ b/ebonytally/load/estimate.py
@@ -27,8 +27,9 @@
 MIN_WEIGHT = 0.25
 # Requests that count as good in addition to those seen.
 GOOD_BEFORE = 2.0
-# A share counts beyond that of the others of the service, times this.
-OTHERS_MARGIN = 1.5
+# Failures count beyond those that the others of the service would have,
+# plus this many standard errors of chance.
+OTHERS_ERRORS = 2.0
 # Requests of the other upstreams without which there is no comparison.
 MIN_OTHERS = 3.0
 # Failures, aged, below which no upstream is avoided: two within seconds.
@@ -87,6 +88,7 @@
     :param silent: openings, 1 for one without an answer
     :param running: requests without an answer, oldest first
     :param answered: times to answer of requests that haven't ended
+    :param lone_at: times of rejections that no lack of room explains so far
     :param shared: suspicion of other entry VMs, seen at `shared_at`
     :param observed_at: time of the latest observation, seconds
     :param pace: relative speed of the requests that it answers
@@ -121,6 +123,7 @@
     answered: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_ANSWERED)
     )
+    lone_at: list[float] = attrs.field(factory=list)
     shared: interfaces.Suspicion | None = None
     shared_at: float = 0.0
     observed_at: float = 0.0
@@ -142,6 +145,18 @@
                 return self.running.pop(index)
         return None
 
+    def take_answered(self, is_small: bool) -> float | None:
+        """Remove and return the time to answer of a request that ends.
+
+        Several may have been answered and not ended. Rejections come at
+        once, so a small answer is taken for the earliest.
+        """
+        if not self.answered:
+            return None
+        took_s = min(self.answered) if is_small else max(self.answered)
+        self.answered.remove(took_s)
+        return took_s
+
     def waiting_factor(self, ahead: float) -> float:
         """Return the usual time of a request behind others, 1 for none."""
         # Of the running ones, the first ends after a share of their time.
@@ -179,6 +194,10 @@
         """Add the end of a request, 1 for one that failed."""
         self.bad.add(bad, now)
         self.recent_bad.add(bad, now)
+        self._forget_old_bad()
+
+    def _forget_old_bad(self) -> None:
+        """Replace the ends of requests by the recent ones after a change."""
         recent, old = self.recent_bad, self.bad
         if (
             recent.total >= MIN_FAILURES
@@ -187,6 +206,20 @@
         ):
             old.weight, old.total = recent.weight, recent.total
 
+    def count_as_bad(self, count: int, now: float) -> None:
+        """Count requests as failed that were counted as good before."""
+        for sums in (self.bad, self.recent_bad):
+            sums.age(now)
+            sums.total = min(sums.total + count, sums.weight)
+        self._forget_old_bad()
+
+    def take_lone(self, before: float) -> int:
+        """Remove the lone rejections before a time; return their number."""
+        kept = [at for at in self.lone_at if at > before]
+        taken = len(self.lone_at) - len(kept)
+        self.lone_at = kept
+        return taken
+
     def _forget_old_times(self, times: service_times.ServiceTimes) -> None:
         """Replace the times by the recent ones after a change."""
         now = self.recent_times.at
@@ -206,10 +239,11 @@
         self.pace = math.exp(-self._log_slowness(times, now))
         self.pace = min(max(self.pace, MIN_SPEED), MAX_SPEED)
         self.failing = max(
-            _excess(self.bad, times.bad, now),
-            _excess(self.silent, times.silent, now),
+            _excess(self.bad, self.bad, times.bad, now),
+            _excess(self.recent_bad, self.bad, times.bad, now),
+            _excess(self.silent, self.silent, times.silent, now),
         )
-        full = _excess(self.rejected, times.rejected, now)
+        full = _excess(self.rejected, self.rejected, times.rejected, now)
         pace, failing = self._with_shared(now)
         speed = pace * (1.0 - failing) * (1.0 - full)
         self.speed = max(speed, MIN_SPEED)
@@ -303,16 +337,27 @@
         return math.exp2((self.peak_at - now) / sums.half_life_s)
 
 
-def _excess(own: decay.Decayed, service: decay.Decayed, now: float) -> float:
-    """Return the share of failures beyond that of the service's others."""
-    if not own.total:
+def _excess(
+    judged: decay.Decayed,
+    own: decay.Decayed,
+    service: decay.Decayed,
+    now: float,
+) -> float:
+    """Return the share of failures beyond that of the service's others.
+
+    :param judged: the upstream's own, with any memory
+    :param own: the upstream's own, with the memory of `service`
+    """
+    if not judged.total:
         return 0.0
-    own.age(now)
-    service.age(now)
+    for sums in (judged, own, service):
+        sums.age(now)
     others = service.weight - own.weight
     if others < MIN_OTHERS:
         return 0.0
     others_share = max(0.0, service.total - own.total) / others
-    usual = OTHERS_MARGIN * others_share * own.weight
-    share = (own.total - usual) / (own.weight + GOOD_BEFORE)
+    others_share = min(others_share, 1.0)
+    usual = others_share * judged.weight
+    usual += OTHERS_ERRORS * math.sqrt(usual * (1.0 - others_share))
+    share = (judged.total - usual) / (judged.weight + GOOD_BEFORE)
     return share if share >= MIN_SHARE else 0.0
--- a/ebonytally/load/service_times.py
+++ b/ebonytally/load/service_times.py
@@ -25,6 +25,8 @@
 FULL_HALF_LIFE_S = 2.0
 # Admission has to react to rejections within a second.
 REJECTED_HALF_LIFE_S = 1.0
+# Above this multiple of the time without waiting, queues may be full.
+STRAINED_TIMES = 1.5
 # The time without waiting is the least reference lately; it may rise by
 # this factor each second.
 FLOOR_RISE_PER_S = 1.02
@@ -118,6 +120,13 @@
         way_s = self.openings.floor(now) or 0.0
         return max(took_s - way_s, MIN_WORK_SHARE * took_s, 1e-6)
 
+    def is_strained(self, now: float) -> bool:
+        """Return whether requests of the service wait in queues."""
+        floor_s = self.answers.floor(now)
+        if floor_s is None or self.answers.value is None:
+            return False
+        return self.answers.value > STRAINED_TIMES * floor_s
+
     def is_quick(self, took_s: float, now: float) -> bool:
         """Return whether an answer came too early to be the work's result."""
         service_s = self.service_time_s(now)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,12 +14,14 @@
 ROUTE = echo_harness.SERVICE_ADDRESS
 
 
-def times_avoided(fleet):
-    """Return how often an entry VM began to avoid an upstream."""
-    return sum(
-        entry.recorder.counts.get("upstreams_avoided", 0)
+def conditions(fleet):
+    """Return the conditions for which entry VMs avoided upstreams."""
+    return {
+        fields["condition"]
         for entry in fleet.entries
-    )
+        for event, fields in entry.recorder.events
+        if event.name == "UPSTREAM_CONDITION"
+    } - {"normal", "unknown"}
 
 
 def share_of_equal(fleet, seconds):
@@ -83,18 +85,29 @@
     fleet.paused_until = fleet.now + 1.0
 
 
-@pytest.mark.parametrize("change", [slow_all, pause, lambda fleet: None])
+def overload(fleet):
+    fleet.per_s = 1.5 * 8 * 2 / capacity_fleet.WORK_S
+
+
+def go_on(fleet):
+    pass
+
+
+@pytest.mark.parametrize("change", [slow_all, pause, overload, go_on])
 def test_what_concerns_all_upstreams_takes_nobodys_share(change):
     # Fails if some upstreams look worse than others through the 3% of long
-    # requests, a common slowdown, or late answers after a pause.
+    # requests, a common slowdown, late answers after a pause, or rejections.
     fleet = capacity_fleet.Fleet(8, 8 * 6.0, 4)
     fleet.slow_share = 0.03
     fleet.run(8.0)
     change(fleet)
     fleet.run(8.0)
-    assert times_avoided(fleet) == 0
+    assert conditions(fleet) <= ({"full"} if change is overload else set())
     shares = [share * 8 for share in fleet.shares(8.0).values()]
     assert 0.65 < min(shares) <= max(shares) < 1.4
+    for entry in fleet.entries:
+        rejected = entry.capacity.rejected_share("desk", fleet.now)
+        assert 0.2 < rejected < 0.5 if change is overload else not rejected
 
 
 @pytest.mark.parametrize(
