--- a/ebonytally/load/answer_sizes.py
+++ b/ebonytally/load/answer_sizes.py
@@ -14,9 +14,9 @@
 # The usual size is the upper quartile, which up to three quarters of error
 # pages don't lower.
 USUAL_QUANTILE = 0.75
-# Of log-normal sizes with sigma 0.6, 3 in 1,000 are smaller than an
-# eighth of the upper quartile.
-SMALL_SHARE = 1 / 8
+# Of log-normal sizes with sigma 0.6, 1 in 1,000 is smaller than a tenth of
+# the upper quartile.
+SMALL_SHARE = 1 / 10
 # An error page fits into one packet.
 MAX_ERROR_BYTES = 1200
 # A fall of the usual size by more than this factor may come from error
--- a/ebonytally/load/estimate.py
+++ b/ebonytally/load/estimate.py
@@ -35,6 +35,8 @@
 # Failures, aged, below which no upstream is avoided: two within seconds.
 MIN_FAILURES = 1.3
 AVOIDED_SHARE = 0.2
+# Shares of failures on which several entry VMs agree count from here.
+SHARED_AVOIDED_SHARE = 0.1
 # A smaller share of failures counts as none.
 MIN_SHARE = 0.01
 SLOW_SPEED = 0.4
@@ -91,6 +93,7 @@
     :param lone_at: times of rejections that no lack of room explains so far
     :param shared: suspicion of other entry VMs, seen at `shared_at`
     :param observed_at: time of the latest observation, seconds
+    :param shared_failing: share of failures that they suspect now
     :param pace: relative speed of the requests that it answers
     :param failing: share of its requests that fail beyond the usual
     """
@@ -127,6 +130,7 @@
     shared: interfaces.Suspicion | None = None
     shared_at: float = 0.0
     observed_at: float = 0.0
+    shared_failing: float = 0.0
     pace: float = 1.0
     failing: float = 0.0
     speed: float = 1.0
@@ -244,23 +248,23 @@
             _excess(self.silent, self.silent, times.silent, now),
         )
         full = _excess(self.rejected, self.rejected, times.rejected, now)
-        pace, failing = self._with_shared(now)
+        pace = min(self.pace, self._shared_pace(now))
+        failing = max(self.failing, self.shared_failing)
         speed = pace * (1.0 - failing) * (1.0 - full)
         self.speed = max(speed, MIN_SPEED)
-        self.condition = self._conclude(pace, failing, full)
+        self.condition = self._conclude(pace, full)
 
     def is_remarkable(self) -> bool:
         """Return whether ageing alone may change the conclusions."""
         return self.speed != 1.0 or self.condition in AVOIDED
 
-    def _conclude(
-        self, pace: float, failing: float, full: float
-    ) -> interfaces.Condition:
+    def _conclude(self, pace: float, full: float) -> interfaces.Condition:
         was = self.condition
         worst = max(self.bad.total, self.silent.total)
-        if self._is_avoided(
-            failing, worst, was == interfaces.Condition.FAILING
-        ):
+        is_failing = self._is_avoided(
+            self.failing, worst, was == interfaces.Condition.FAILING
+        )
+        if is_failing or self.shared_failing >= SHARED_AVOIDED_SHARE:
             return interfaces.Condition.FAILING
         if self._is_avoided(
             full, self.rejected.total, was == interfaces.Condition.FULL
@@ -276,30 +280,27 @@
     def _is_avoided(self, share: float, count: float, was: bool) -> bool:
         if was:
             return share >= AVOIDED_SHARE / HYSTERESIS
-        is_known = count >= MIN_FAILURES or (
-            self.shared is not None and self.shared.failing > 0.0
-        )
-        return is_known and share >= AVOIDED_SHARE
+        return count >= MIN_FAILURES and share >= AVOIDED_SHARE
 
-    def _with_shared(self, now: float) -> tuple[float, float]:
-        """Return pace and failing share, the worse of own and others'.
+    def _shared_pace(self, now: float) -> float:
+        """Return the pace that others suspect; update their failing share.
 
         The weight of others' suspicions ends gradually, so that not all
         entry VMs come back at the same moment.
         """
+        self.shared_failing = 0.0
         if self.shared is None:
-            return self.pace, self.failing
+            return MAX_SPEED
         weight = math.exp2(
             (self.shared_at - now) / service_times.FULL_HALF_LIFE_S
         )
         if weight < MIN_SPEED:
             self.shared = None
-            return self.pace, self.failing
-        shared_pace = max(self.shared.slowdown, 1.0) ** -weight
-        return (
-            min(self.pace, max(shared_pace, MIN_SPEED)),
-            max(self.failing, weight * min(self.shared.failing, 1.0)),
-        )
+            return MAX_SPEED
+        self.shared_failing = weight * min(self.shared.failing, 1.0)
+        if self.shared.slowdown <= 1.0:
+            return MAX_SPEED
+        return max(self.shared.slowdown**-weight, MIN_SPEED)
 
     def _log_slowness(
         self, times: service_times.ServiceTimes, now: float
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -148,7 +148,9 @@
                 for one in entry.capacity.suspicions(now):
                     told.setdefault(one.cookie, []).append(one)
             self.found = {
-                cookie: ones[0] for cookie, ones in told.items() if ones[1:]
+                cookie: max(ones, key=lambda one: one.failing)
+                for cookie, ones in told.items()
+                if ones[1:]
             }
         return self.found
 
