--- a/ebonytally/load/answer_sizes.py
+++ b/ebonytally/load/answer_sizes.py
@@ -19,10 +19,9 @@
 SMALL_SHARE = 1 / 10
 # An error page fits into one packet.
 MAX_ERROR_BYTES = 1200
-# A fall of the usual size by more than this factor may come from error
-# pages: then it falls no faster than by half in this time.
-COLLAPSE = 4.0
-USUAL_HALF_LIFE_S = 30.0
+# The usual size doubles or halves in this time at most, so that a burst of
+# error pages doesn't become usual.
+DOUBLING_S = 30.0
 MAX_ROUTES = 2000
 
 
@@ -53,11 +52,13 @@
     def _update_usual(self, now: float) -> None:
         ordered = sorted(self.sizes)
         recent = ordered[int(USUAL_QUANTILE * (len(ordered) - 1))]
-        if recent * COLLAPSE < self.usual:
-            aged_s = now - self.usual_at
-            self.usual *= math.exp2(-aged_s / USUAL_HALF_LIFE_S)
-        else:
+        if len(self.sizes) < MAX_SIZES:
             self.usual = recent
+        else:
+            change = math.exp2((now - self.usual_at) / DOUBLING_S)
+            self.usual = min(
+                max(recent, self.usual / change), self.usual * change
+            )
         self.usual_at = now
 
 
