--- a/benches/bench_placing.py
+++ b/benches/bench_placing.py
@@ -84,6 +84,7 @@
         retries = []
         for entry in self._entries:
             entry.now = 1.0 + now
+            entry.capacity.tick(entry.now)
             for out in entry.forwarder.tick(entry.now):
                 flow = int.from_bytes(out.packet.key[:6], "big")
                 retries.append((flow, int(out.id[2:], 16) - 1))
