--- a/tests/echo_harness.py
+++ b/tests/echo_harness.py
@@ -11,6 +11,7 @@
 from ebonytally.feed import follower
 from ebonytally.feed import messages
 from ebonytally.feed import server
+from ebonytally.load import capacity
 from ebonytally import recorder as recorders
 from ebonytally.registry import records
 from ebonytally.registry import registry as registries
@@ -76,6 +77,7 @@
             name, start, self.registry, self.machine, (), 0.0
         )
         self.in_touch = True
+        self.followers = 1
         self.names = (name,)
 
     def apply_configuration(self, version, content=CONTENT):
@@ -88,7 +90,7 @@
         """Handle a message of an entry VM; return the replies."""
         if isinstance(msg, messages.Poll):
             return self.source.handle_poll(
-                peer, msg, self.names, self.in_touch, 1, now
+                peer, msg, self.names, self.in_touch, self.followers, now
             )
         if isinstance(msg, messages.RecordsWanted):
             return self.source.handle_records_wanted(peer, msg, now)
@@ -101,7 +103,7 @@
     `unreachable` names the control VMs whose messages are lost.
     """
 
-    def __init__(self, name, control_vms, seed=1, home="north"):
+    def __init__(self, name, control_vms, seed=1, home="north", shared=None):
         self.name = name
         self.recorder = recorders.MemoryRecorder()
         self.control_vms = {
@@ -114,14 +116,16 @@
             self.registry,
             self.recorder,
         )
+        self.capacity = capacity.Capacity(self.registry, self.recorder, shared)
         self.placing = placing.Placing(
-            self.registry, self.follower, 5.0, home, seed
+            self.registry, self.follower, 5.0, home, seed, self.capacity
         )
         self.forwarder = forwarder.Forwarder(
             self.registry,
             self.follower,
             self.placing,
             self.recorder,
+            (self.capacity,),
         )
         self.now = 0.0
         self.sent = []
@@ -130,6 +134,7 @@
         """Advance the clock by ticks of 20 ms."""
         for _ in range(round(seconds / 0.02)):
             self.now += 0.02
+            self.capacity.tick(self.now)
             self.sent += self.forwarder.tick(self.now)
             self.deliver(self.follower.tick(self.now))
 
