--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -136,7 +136,9 @@
             return list(self._openings.on_retransmission(packet, now))
         self._recorder.count("flows_opening")
         service = self._placing.service_of(route)
-        packets_out = self._openings.begin(packet, service, now)
+        packets_out = self._openings.begin(
+            packet, service, route.priority, now
+        )
         return list(packets_out) or self._refuse_without_upstream(
             packet, service, now
         )
--- a/ebonytally/echo/openings.py
+++ b/ebonytally/echo/openings.py
@@ -41,6 +41,7 @@
 
     packet: packets.Packet
     service: str
+    priority: int
     tried: tuple[str, ...]
     sent_at: float
     began_at: float
@@ -111,16 +112,23 @@
         self,
         packet: packets.Packet,
         service: str,
+        priority: int,
         now: float,
     ) -> Offers:
-        """Offer a new flow to an upstream; return [] if there is none."""
-        chosen = self._choose(service, (), now)
+        """Offer a new flow to an upstream; return [] if there is none.
+
+        :param priority: priority class of the flow's route
+        """
+        chosen = self._choose(service, priority, (), now)
         if chosen is None:
             return []
+        if self._placing.is_elsewhere(chosen):
+            self._recorder.count("flows_sent_elsewhere")
         if len(self._openings) < MAX_OPENINGS:
             self._openings[packet.key] = _Opening(
                 packet,
                 service,
+                priority,
                 (chosen.id,),
                 now,
                 now,
@@ -179,7 +187,9 @@
         is_backed_off = self._count_silence(opening, trigger, now)
         chosen = None
         if not opening.exhausted:
-            chosen = self._choose(opening.service, opening.tried, now)
+            chosen = self._choose(
+                opening.service, opening.priority, opening.tried, now
+            )
         self._recorder.log_event(
             events.Event.UPSTREAM_SILENT,
             flow=opening.packet.key.hex(),
@@ -231,15 +241,17 @@
     def _choose(
         self,
         service: str,
+        priority: int,
         tried: tuple[str, ...],
         now: float,
     ) -> records.Record | None:
         """Return an upstream, the next best if another one has its cookie."""
-        chosen = self._placing.choose(service, tried, now)
+        chosen = self._placing.choose(service, priority, tried, now)
         if chosen is None:
             return None
         if not self._cookies.has_own_cookie(chosen):
-            return self._placing.choose(service, (*tried, chosen.id), now)
+            tried = (*tried, chosen.id)
+            return self._placing.choose(service, priority, tried, now)
         return chosen
 
     def _remove(self, key: bytes, opening: _Opening) -> None:
--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -7,6 +7,7 @@
 from ebonytally.configuration import model
 from ebonytally.echo import upstream_load as loads
 from ebonytally.feed import follower as followers
+from ebonytally.load import interfaces
 from ebonytally.registry import records
 from ebonytally.registry import registry as registries
 
@@ -30,10 +31,12 @@
     Both lists are shuffled, so that a slice is a random sample.
 
     :param home: those in the entry VM's data centre
+    :param elsewhere: those of `remote` by data centre
     """
 
     home: list[registries.Entry] = attrs.field(factory=list)
     remote: list[registries.Entry] = attrs.field(factory=list)
+    elsewhere: dict[str, list[registries.Entry]] = attrs.field(factory=dict)
 
     def all(self) -> list[registries.Entry]:
         """Return all of them."""
@@ -54,17 +57,20 @@
         cold_slack: float,
         data_centre: str,
         seed: int,
+        spill: interfaces.Spill | None = None,
     ) -> None:
         """Create a chooser with no load.
 
         :param cold_slack: requests a second that any cold upstream can
             take in addition to its service's rate
         :param data_centre: data centre of this entry VM and of its callers
+        :param spill: decides how much load leaves the data centre
         """
         self._registry = registry
         self._follower = follower
         self._cold_slack = cold_slack
         self._data_centre = data_centre
+        self._spill = spill
         self._rng = random.Random(seed)
         self._loads: dict[str, loads.UpstreamLoad] = {}
         self._candidates: dict[str, _Candidates] = {}
@@ -106,21 +112,26 @@
     def choose(
         self,
         service: str,
+        priority: int,
         tried: tuple[str, ...],
         now: float,
     ) -> records.Record | None:
         """Return the upstream for a new flow, None if there is none.
 
+        :param priority: priority class of the flow's route
         :param tried: ids of upstreams that didn't answer this caller
         """
         candidates = self._find_candidates(service)
         if candidates is None:
             return None
-        usable = self._usable(candidates, tried, now)
-        warm = [entry for entry in usable if entry.cold_until <= now]
-        best = self._least_loaded(warm)
-        if best is None or self._rng.random() * len(usable) > len(warm):
-            best = self._cold_due(service, usable, now) or best
+        best = None
+        decided = None
+        if not tried:
+            decided = self._decided(candidates, service, priority, now)
+        if decided is not None:
+            best = self._best(service, decided, tried, now)
+        if best is None:
+            best = self._best(service, candidates, tried, now)
         if best is None:
             best = self._least_loaded(
                 [
@@ -131,6 +142,51 @@
             )
         return best.record if best is not None else None
 
+    def is_elsewhere(self, record: records.Record) -> bool:
+        """Return whether an upstream is in another data centre."""
+        return record.data_centre != self._data_centre
+
+    def _decided(
+        self,
+        candidates: _Candidates,
+        service: str,
+        priority: int,
+        now: float,
+    ) -> _Candidates | None:
+        """Return the upstreams of the data centre drawn by the shares.
+
+        :return: None if the choice is among all of them
+        """
+        if self._spill is None:
+            return None
+        shares = self._spill.remote_shares(service, priority, now)
+        home_share = self._spill.home_share(service, priority, now)
+        if not shares and not home_share:
+            return None
+        left = self._rng.random()
+        for name, share in shares.items():
+            left -= share
+            if left < 0.0:
+                return _Candidates(remote=candidates.elsewhere.get(name, []))
+        if left < home_share:
+            return _Candidates(home=candidates.home)
+        return None
+
+    def _best(
+        self,
+        service: str,
+        candidates: _Candidates,
+        tried: tuple[str, ...],
+        now: float,
+    ) -> registries.Entry | None:
+        """Return the best of the candidates that aren't backed off."""
+        usable = self._usable(candidates, tried, now)
+        warm = [entry for entry in usable if entry.cold_until <= now]
+        best = self._least_loaded(warm)
+        if best is None or self._rng.random() * len(usable) > len(warm):
+            best = self._cold_due(service, usable, now) or best
+        return best
+
     def _usable(
         self,
         candidates: _Candidates,
@@ -199,6 +255,9 @@
         for candidates in by_service.values():
             self._rng.shuffle(candidates.home)
             self._rng.shuffle(candidates.remote)
+            for entry in candidates.remote:
+                name = entry.record.data_centre
+                candidates.elsewhere.setdefault(name, []).append(entry)
         return by_service
 
     def _least_loaded(
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -6,6 +6,10 @@
 from ebonytally.echo import packets
 from ebonytally.echo import placing
 from ebonytally.feed import follower
+from ebonytally.load import priority_mix
+from ebonytally.load import rooms
+from ebonytally.load import spill
+from ebonytally.load import way_cost
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -36,18 +40,33 @@
             self._registry,
             recorder,
         )
+        home = deployment.cfg.data_centre
+        ways = way_cost.WayCost(self._registry, home)
+        priorities = priority_mix.PriorityMix(self._registry, self.follower)
+        self._spill = spill.SpillShares(
+            self.follower,
+            home,
+            rooms.Rooms(self._registry, self.follower, capacity=None),
+            None,
+            ways,
+            priorities,
+            recorder,
+            seed,
+        )
         placement = placing.Placing(
             self._registry,
             self.follower,
             deployment.cold_slack,
-            deployment.cfg.data_centre,
+            home,
             seed,
+            self._spill,
         )
         self.forwarder = forwarder.Forwarder(
             self._registry,
             self.follower,
             placement,
             recorder,
+            (ways, priorities),
         )
         self._stopping = False
 
@@ -94,4 +113,5 @@
         :return: packets to send, and messages to control VMs
         """
         self._registry.expire(now)
+        self._spill.tick(now)
         return self.forwarder.tick(now), self.follower.tick(now)
--- a/ebonytally/load/interfaces.py
+++ b/ebonytally/load/interfaces.py
@@ -190,3 +190,11 @@
         :return: by data centre, each 0 to 1, their sum at most 1; empty
             while the own data centre has room
         """
+
+    def home_share(self, service: str, priority: int, now: float) -> float:
+        """Return the share of new flows to open at home only.
+
+        What is left of it and `remote_shares` is for the choice among all
+        upstreams by the load that this entry VM sees: everything while
+        there are no figures, or while home has room.
+        """
--- /dev/null
+++ b/ebonytally/load/spill.py
@@ -0,0 +1,358 @@
+"""Shares of new flows that leave the data centre, held by each entry VM.
+
+Handles the load condition that demand exceeds home's room while other data
+centres have room left after their own callers.
+"""
+
+from collections.abc import Mapping
+import enum
+import math
+import random
+
+import attrs
+
+from ebonytally import events
+from ebonytally.feed import follower as followers
+from ebonytally.load import interfaces
+from ebonytally.load import priority_mix
+from ebonytally.load import rooms as room_lib
+from ebonytally.load import water_filling
+from ebonytally.load import way_cost
+from ebonytally import recorder as recorders
+
+# Shares are computed anew at this interval, longer by a random part so that
+# entry VMs don't act at the same moment.
+REFRESH_S = 0.25
+REFRESH_SPREAD = 0.4
+# Time constant of changes: 95% after 1.5 s, which with figures up to 1 s
+# old stays within 3 s. It varies by `REFRESH_SPREAD` between entry VMs.
+CHANGE_S = 0.45
+# The same without figures; they may return after a lost report.
+FADE_S = 1.0
+# How long the latest demand of a data centre counts that isn't reported.
+FIGURE_MEMORY_S = 5.0
+# A longer time between two refreshes means that this VM was paused.
+MAX_STEP_S = 0.5
+# Above the start, the part of the flows that follows the shares rises from
+# 0 to 1 over this band of utilisation.
+DECIDED_BAND = 0.1
+# Round trips that a request loses on a longer way: the opening, and the
+# request with its answer.
+WAY_TRIPS = 2.0
+# An event says that load begins to leave, or no longer does.
+BEGIN_SHARE = 0.01
+END_SHARE = 0.005
+
+
+class Reason(enum.StrEnum):
+    """Why a share of a service's flows leaves the data centre, or none.
+
+    :cvar NONE_ELSEWHERE: no other data centre has room left
+    :cvar WAY: the way elsewhere costs more time than the queue at home
+    :cvar NO_FIGURES: demand or room isn't known; the choice is by the load
+        that this entry VM sees
+    """
+
+    HOME_HAS_ROOM = "home_has_room"
+    HOME_SHORT = "home_short"
+    NONE_AT_HOME = "none_at_home"
+    NONE_ELSEWHERE = "none_elsewhere"
+    WAY = "way"
+    NO_FIGURES = "no_figures"
+
+
+@attrs.frozen
+class Decision:
+    """What is decided for a service; shares approach it gradually.
+
+    :param decided: part of the flows that goes by these shares; for the
+        rest the choice is as without figures
+    :param shares: of the whole demand, by data centre
+    :param utilisation: of home by its own callers
+    :param mean: utilisation over all data centres
+    """
+
+    reason: Reason
+    decided: float = 0.0
+    shares: Mapping[str, float] = attrs.field(factory=dict)
+    utilisation: float = 0.0
+    mean: float = 0.0
+
+
+@attrs.define
+class _State:
+    """Present shares of a service, on their way to the decision's.
+
+    :param by_priority: present shares, by priority and data centre
+    """
+
+    decision: Decision
+    decided: float = 0.0
+    shares: dict[str, float] = attrs.field(factory=dict)
+    by_priority: dict[int, dict[str, float]] = attrs.field(factory=dict)
+    leaves: bool = False
+
+    def step(self, gain: float) -> None:
+        """Move the shares a part of the way to the decision."""
+        target = self.decision
+        self.decided += gain * (target.decided - self.decided)
+        for name in {*self.shares, *target.shares}:
+            old = self.shares.get(name, 0.0)
+            share = old + gain * (target.shares.get(name, 0.0) - old)
+            self.shares[name] = share
+        self.shares = {
+            name: share
+            for name, share in self.shares.items()
+            if share > END_SHARE / 10 or name in target.shares
+        }
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether the choice is as without figures again."""
+        return (
+            not self.decision.decided
+            and not self.leaves
+            and self.decided < BEGIN_SHARE
+        )
+
+
+class SpillShares:
+    """An `interfaces.Spill` by water filling over data centres."""
+
+    def __init__(
+        self,
+        follower: followers.Follower,
+        home: str,
+        rooms: room_lib.Rooms,
+        shared_load: interfaces.SharedLoad | None,
+        ways: way_cost.WayCost,
+        priorities: priority_mix.PriorityMix,
+        recorder: recorders.Recorder,
+        seed: int,
+        is_enabled: bool = True,
+    ) -> None:
+        """Create it without shares.
+
+        :param home: data centre of this entry VM
+        :param shared_load: without it, no shares are ever decided
+        :param is_enabled: whether load may leave by shares
+        """
+        self._follower = follower
+        self._home = home
+        self._rooms = rooms
+        self._shared_load = shared_load
+        self._ways = ways
+        self._priorities = priorities
+        self._recorder = recorder
+        self._rng = random.Random(seed)
+        self._is_enabled = is_enabled
+        self._states: dict[str, _State] = {}
+        self._change_s = CHANGE_S * self._spread()
+        self._latest_demand: dict[str, dict[str, tuple[float, float]]] = {}
+        # 0 before the first decision.
+        self._stepped_at = 0.0
+        self._next_at = -1e9
+
+    def remote_shares(
+        self, service: str, priority: int, now: float
+    ) -> Mapping[str, float]:
+        """Return the shares of new flows by other data centre."""
+        state = self._states.get(service)
+        if state is None:
+            return {}
+        shares = state.by_priority.get(priority, state.shares)
+        return {
+            name: share
+            for name, share in shares.items()
+            if not self._is_unusable(name, now)
+        }
+
+    def home_share(self, service: str, priority: int, now: float) -> float:
+        """Return the share of new flows that must stay at home.
+
+        What a cut link can't carry is part of it.
+        """
+        state = self._states.get(service)
+        if state is None:
+            return 0.0
+        planned = state.by_priority.get(priority, state.shares)
+        decided = max(state.decided, sum(planned.values()))
+        sent = sum(self.remote_shares(service, priority, now).values())
+        return max(0.0, decided - sent)
+
+    def decision(self, service: str) -> Decision | None:
+        """Return the latest decision for a service, None before the first."""
+        state = self._states.get(service)
+        return state.decision if state is not None else None
+
+    def tick(self, now: float) -> None:
+        """Decide anew when it is due, and move the shares."""
+        if not self._is_enabled or self._shared_load is None:
+            return
+        if now < self._next_at:
+            return
+        step_s = min(now - self._stepped_at, MAX_STEP_S)
+        if not self._stepped_at:
+            step_s = REFRESH_S
+        self._stepped_at = now
+        self._next_at = now + REFRESH_S * self._spread()
+        self._rooms.update(now)
+        for service in {*self._rooms.services(), *self._states}:
+            self._update(service, step_s, now)
+
+    def _spread(self) -> float:
+        return 1.0 + REFRESH_SPREAD * self._rng.random()
+
+    def _is_unusable(self, data_centre: str, now: float) -> bool:
+        return data_centre in self._follower.view.out or self._ways.is_cut(
+            data_centre, now
+        )
+
+    def _update(self, service: str, step_s: float, now: float) -> None:
+        decision = self._decide(service, now)
+        state = self._states.get(service)
+        if state is None:
+            if not decision.decided:
+                return
+            state = self._states[service] = _State(decision)
+        state.decision = decision
+        is_blind = decision.reason == Reason.NO_FIGURES
+        change_s = FADE_S if is_blind else self._change_s
+        for name in state.shares:
+            if self._is_unusable(name, now):
+                state.shares[name] = 0.0
+        state.step(1.0 - math.exp(-step_s / change_s))
+        state.by_priority = water_filling.split_by_priority(
+            state.shares,
+            self._priorities.shares(service, now),
+            self._limits(service, decision, now),
+        )
+        self._log_change(service, state)
+        if state.is_over:
+            del self._states[service]
+
+    def _decide(self, service: str, now: float) -> Decision:
+        """Return what is best by the present figures."""
+        demand = self._demand(service, now)
+        rooms = self._rooms.by_data_centre(service, now)
+        if demand is None or not rooms:
+            return Decision(Reason.NO_FIGURES)
+        room = {
+            name: room.per_s
+            for name, room in rooms.items()
+            if not self._ways.is_cut(name, now)
+        }
+        demand = {
+            name: per_s
+            for name, per_s in demand.items()
+            if not self._ways.is_cut(name, now)
+        }
+        used = water_filling.utilisation(
+            demand.get(self._home, 0.0), room.get(self._home, 0.0)
+        )
+        mean = water_filling.mean_utilisation(demand, room)
+        if used <= water_filling.START_UTILISATION:
+            return Decision(Reason.HOME_HAS_ROOM, 0.0, {}, used, mean)
+        planned = water_filling.shares(self._home, demand, room)
+        if self._home not in room:
+            decided = 1.0 if planned else 0.0
+            return Decision(Reason.NONE_AT_HOME, decided, planned, used, mean)
+        return self._weigh(planned, rooms, used, mean, now)
+
+    def _demand(self, service: str, now: float) -> dict[str, float] | None:
+        """Return the demand by data centre, None without figures.
+
+        The demand of a data centre that is suddenly missing counts for a
+        while as before: its figures are more likely lost than its callers.
+        """
+        demand = self._shared_load.demand_per_s(service, now)
+        if demand is None:
+            return None
+        latest = self._latest_demand.setdefault(service, {})
+        for name, per_s in demand.items():
+            latest[name] = (per_s, now)
+        for name, (_, at) in list(latest.items()):
+            if now - at > FIGURE_MEMORY_S:
+                del latest[name]
+        return {name: per_s for name, (per_s, _) in latest.items()}
+
+    def _weigh(
+        self,
+        planned: Mapping[str, float],
+        rooms: Mapping[str, room_lib.Room],
+        used: float,
+        mean: float,
+        now: float,
+    ) -> Decision:
+        """Return a plan without the shares for which the way is too long."""
+        home = rooms[self._home]
+        queue_s = water_filling.queue_s(
+            used, home.slots / home.upstreams, home.service_time_s
+        )
+        shares = {
+            name: share * self._gain(queue_s, name, now)
+            for name, share in planned.items()
+        }
+        reason = Reason.HOME_SHORT
+        if not planned:
+            reason = Reason.NONE_ELSEWHERE
+        elif not any(shares.values()):
+            reason = Reason.WAY
+        above = used - water_filling.START_UTILISATION
+        decided = min(1.0, above / DECIDED_BAND)
+        return Decision(reason, decided, shares, used, mean)
+
+    def _gain(self, queue_s: float, data_centre: str, now: float) -> float:
+        """Return the part of a share for which the way pays off, 0 to 1.
+
+        It rises from 0, where the queue at home costs as much time as the
+        way, to 1 where it costs twice as much.
+        """
+        way_s = WAY_TRIPS * self._ways.extra_s(data_centre, now)
+        if queue_s >= 2.0 * way_s:
+            return 1.0
+        return max(0.0, queue_s / way_s - 1.0)
+
+    def _limits(
+        self, service: str, decision: Decision, now: float
+    ) -> dict[int, dict[str, float]]:
+        """Return the largest shares that the routes' times allow.
+
+        An answer that would be late elsewhere is still better than none:
+        what exceeds home's room may leave until its timeout.
+        """
+        rooms = self._rooms.by_data_centre(service, now) or {}
+        excess = 1.0 - 1.0 / max(1.0, decision.utilisation)
+        limits: dict[int, dict[str, float]] = {}
+        for priority, bounds in self._priorities.bounds(service).items():
+            by_name = limits[priority] = {}
+            for name, room in rooms.items():
+                took_s = room.service_time_s + (
+                    WAY_TRIPS * self._ways.extra_s(name, now)
+                )
+                if took_s > bounds.timeout_s:
+                    by_name[name] = 0.0
+                elif took_s > bounds.target_latency_s:
+                    by_name[name] = excess
+        return limits
+
+    def _log_change(self, service: str, state: _State) -> None:
+        """Log that load begins to leave, or no longer does."""
+        bound = END_SHARE if state.leaves else BEGIN_SHARE
+        leaves = sum(state.shares.values()) >= bound
+        if leaves == state.leaves:
+            return
+        state.leaves = leaves
+        decision = state.decision
+        self._recorder.log_event(
+            events.Event.SPILL_TURNED,
+            service=service,
+            leaves=state.leaves,
+            reason=decision.reason.value,
+            shares={
+                name: round(share, 3)
+                for name, share in decision.shares.items()
+            },
+            utilisation=round(decision.utilisation, 3),
+            mean=round(decision.mean, 3),
+        )
