--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -24,12 +24,13 @@
 # entry VMs don't act at the same moment.
 REFRESH_S = 0.25
 REFRESH_SPREAD = 0.4
-# Time constant of changes: 95% after 1.5 s, which with figures up to 1 s
-# old stays within 3 s. It varies by `REFRESH_SPREAD` between entry VMs.
-CHANGE_S = 0.45
+# Time constant of changes: 95% after 1.2 to 1.7 s, which with figures up to
+# 1 s old stays within 3 s. It varies by `REFRESH_SPREAD` between entry VMs.
+CHANGE_S = 0.4
 # The same without figures; they may return after a lost report.
 FADE_S = 1.0
-# How long the latest demand of a data centre counts that isn't reported.
+# How long the latest demand of another data centre counts that isn't
+# reported any more: it only makes less load leave for there.
 FIGURE_MEMORY_S = 5.0
 # A longer time between two refreshes means that this VM was paused.
 MAX_STEP_S = 0.5
@@ -147,6 +148,7 @@
         self._rng = random.Random(seed)
         self._is_enabled = is_enabled
         self._states: dict[str, _State] = {}
+        self._decisions: dict[str, Decision] = {}
         self._change_s = CHANGE_S * self._spread()
         self._latest_demand: dict[str, dict[str, tuple[float, float]]] = {}
         # 0 before the first decision.
@@ -182,8 +184,7 @@
 
     def decision(self, service: str) -> Decision | None:
         """Return the latest decision for a service, None before the first."""
-        state = self._states.get(service)
-        return state.decision if state is not None else None
+        return self._decisions.get(service)
 
     def tick(self, now: float) -> None:
         """Decide anew when it is due, and move the shares."""
@@ -197,8 +198,12 @@
         self._stepped_at = now
         self._next_at = now + REFRESH_S * self._spread()
         self._rooms.update(now)
-        for service in {*self._rooms.services(), *self._states}:
-            self._update(service, step_s, now)
+        services = {*self._rooms.services(), *self._states}
+        self._decisions = {
+            service: self._decide(service, now) for service in services
+        }
+        for service, decision in self._decisions.items():
+            self._update(service, decision, step_s, now)
 
     def _spread(self) -> float:
         return 1.0 + REFRESH_SPREAD * self._rng.random()
@@ -208,8 +213,9 @@
             data_centre, now
         )
 
-    def _update(self, service: str, step_s: float, now: float) -> None:
-        decision = self._decide(service, now)
+    def _update(
+        self, service: str, decision: Decision, step_s: float, now: float
+    ) -> None:
         state = self._states.get(service)
         if state is None:
             if not decision.decided:
@@ -272,7 +278,9 @@
         for name, per_s in demand.items():
             latest[name] = (per_s, now)
         for name, (_, at) in list(latest.items()):
-            if now - at > FIGURE_MEMORY_S:
+            if now - at > FIGURE_MEMORY_S or (
+                name == self._home and name not in demand
+            ):
                 del latest[name]
         return {name: per_s for name, (per_s, _) in latest.items()}
 
--- /dev/null
+++ b/tests/test_spill.py
@@ -0,0 +1,277 @@
+"""Load that leaves a data centre: balance, gradual change, failures."""
+
+import itertools
+import statistics
+
+import attrs
+import pytest
+
+from ebonytally.load import spill
+from tests import echo_harness
+from tests import spill_site
+
+SITE = {"north": 10, "south": 10, "east": 10, "west": 10}
+QUIET = {"south": 250.0, "east": 250.0, "west": 250.0}
+SHORT = {"north": 750.0, **QUIET}
+
+
+def make_site(demand=SHORT, upstreams=SITE, **options):
+    """Return a site with a demand that has not begun."""
+    site = spill_site.Site(upstreams, **options)
+    site.demand = dict(demand)
+    return site
+
+
+def run_and_sample(site, seconds):
+    """Run; return the time and the share of north at each tick."""
+    samples = []
+    site.run(seconds, lambda: samples.append((site.now, site.share("north"))))
+    return samples
+
+
+def largest_step(samples):
+    """Return the largest change of the share within 0.5 s."""
+    shares = [share for _, share in samples]
+    return max(abs(b - a) for a, b in zip(shares, shares[10:], strict=False))
+
+
+def mean_wait_s(site, home, since):
+    """Return the mean wait of a data centre's callers."""
+    return statistics.mean(site.waits(home, since)[0])
+
+
+def reasons(site, home="north"):
+    """Return the reasons at which the first VM's load began or ended."""
+    return [
+        (fields["leaves"], fields["reason"])
+        for event, fields in site.vms[home][0].recorder.events
+        if event.name == "SPILL_TURNED"
+    ]
+
+
+def test_callers_of_a_short_data_centre_wait_like_others():
+    # Failure: demand of 1.5 times home's room waits at home.
+    before, after = (make_site(with_spill=on) for on in (False, True))
+    for site in (before, after):
+        site.run(12.0)
+    assert mean_wait_s(before, "north", 5.0) > 0.04
+    elsewhere = [mean_wait_s(after, home, 5.0) for home in QUIET]
+    assert mean_wait_s(after, "north", 5.0) <= max(elsewhere) + 0.003
+    used = after.utilisation(5.0)
+    mean = statistics.mean(used.values())
+    assert max(used.values()) <= 1.1 * mean
+    assert all(after.left(home, 5.0) < 0.01 for home in QUIET)
+    assert reasons(after) == [(True, "home_short")]
+
+
+@pytest.mark.parametrize("part", [0.4, 0.65])
+def test_nothing_leaves_below_the_threshold(part):
+    # Failure: load crosses data centres although home has room.
+    site = make_site({"north": part * 500.0, **QUIET})
+    site.run(8.0)
+    assert site.left("north", 3.0) < 0.01
+    assert reasons(site) == []
+
+
+def test_a_small_data_centre_behaves_as_before_at_ordinary_load():
+    # Failure: one upstream at home is used although others are free.
+    upstreams = {"north": 1, "south": 10}
+    demand = {"north": 30.0, "south": 100.0}
+    before, after = (
+        make_site(demand, upstreams, with_spill=on) for on in (False, True)
+    )
+    for site in (before, after):
+        site.run(8.0)
+    assert before.done == after.done
+
+
+def test_no_data_centre_pushes_its_overload_on_when_all_are_short():
+    # Failure: callers of a data centre with less demand lose their room.
+    site = make_site(
+        {"north": 1000.0, "south": 490.0}, {"north": 10, "south": 10}
+    )
+    site.run(8.0)
+    assert site.left("north", 4.0) < 0.01
+    assert site.left("south", 4.0) < 0.01
+
+
+def test_shares_settle_within_three_seconds_and_return_without_a_jump():
+    # Failure: shares swing with figures that are one second old.
+    site = make_site({"north": 250.0, **QUIET})
+    site.run(4.0)
+    site.demand["north"] = 750.0
+    rise = run_and_sample(site, 9.0)
+    final = rise[-1][1]
+    settled = [share for at, share in rise if at > 7.0]
+    assert max(settled) - min(settled) < 0.05 * final
+    assert max(share for _, share in rise) < 1.05 * final
+    site.demand["north"] = 250.0
+    fall = run_and_sample(site, 6.0)
+    assert largest_step(rise + fall) < 0.35
+    assert all(share < 0.05 * final for at, share in fall if at > 16.0)
+    assert all(share < 0.01 for at, share in fall if at > 17.0)
+    assert reasons(site)[-1] == (False, "home_has_room")
+
+
+def test_shares_follow_a_wave_without_swinging():
+    # Failure: a delay in the figures makes a rising demand oscillate.
+    site = make_site({"north": 500.0, **QUIET})
+    shares = []
+    for step in range(60):
+        site.demand["north"] = 500.0 + 5.0 * step
+        site.run(0.2)
+        shares.append(site.share("north"))
+    assert all(b > a - 0.01 for a, b in itertools.pairwise(shares[15:]))
+
+
+def test_entry_vms_do_not_act_in_step():
+    # Failure: all entry VMs change their shares at the same moment.
+    site = make_site(vms=12)
+    changed_at = {}
+
+    def note():
+        for number, vm in enumerate(site.vms["north"]):
+            shares = vm.spill.remote_shares(spill_site.DESK, 2, site.now)
+            changed_at.setdefault((number, sum(shares.values())), site.now)
+
+    site.run(4.0, note)
+    moves = [at for (_, share), at in changed_at.items() if share]
+    assert max(moves.count(at) for at in set(moves)) <= 8
+
+
+def test_a_cut_link_returns_its_share_home_at_once():
+    # Failure: the way to one data centre is cut.
+    site = make_site()
+    site.run(5.0)
+    site.cut.add("south")
+    site.run(0.5)
+    for vm in site.vms["north"]:
+        shares = vm.spill.remote_shares(spill_site.DESK, 2, site.now)
+        assert "south" not in shares
+        home_share = vm.spill.home_share(spill_site.DESK, 2, site.now)
+        assert home_share + sum(shares.values()) == pytest.approx(1, abs=0.05)
+    site.run(10.0)
+    assert site.share("north") > 0.4
+
+
+def test_an_evacuated_data_centre_gets_nothing():
+    # Failure: one data centre is taken out of service.
+    site = make_site()
+    site.run(5.0)
+    site.set_view(out=frozenset({"south"}), out_revision=1)
+    site.run(0.1)
+    assert not any(
+        "south" in vm.spill.remote_shares(spill_site.DESK, 2, site.now)
+        for vm in site.vms["north"]
+    )
+    began = site.now
+    site.run(5.0)
+    assert "south" not in {to for at, _, to, _ in site.done if at > began}
+
+
+def test_callers_of_an_evacuated_data_centre_go_where_room_is():
+    # Failure: home is taken out of service, others are unequally loaded.
+    demand = {"north": 250.0, "south": 350.0, "east": 100.0, "west": 100.0}
+    site = make_site(demand)
+    site.set_view(out=frozenset({"north"}), out_revision=1)
+    site.run(8.0)
+    used = site.utilisation(4.0)
+    assert used["south"] < 0.8
+    assert site.waits("north", 4.0)[1] == 0
+    assert reasons(site) == [(True, "none_at_home")]
+
+
+def test_a_service_only_elsewhere_is_served():
+    # Failure: home has no upstream of the service, with and without figures.
+    site = make_site({"north": 100.0, "south": 0.0}, {"south": 10})
+    site.vms["north"] = [spill_site.EntryVm(site, "north", 7, True)]
+    site.run(4.0)
+    assert site.left("north", 0.0) == 1.0
+    assert site.waits("north", 0.0)[1] == 0
+
+
+def test_lost_figures_fade_into_the_choice_as_before():
+    # Failure: no control VM answers, so that figures get old.
+    site = make_site()
+    site.run(6.0)
+    site.figures.lost = True
+    fade = run_and_sample(site, 8.0)
+    assert largest_step(fade) < 0.3
+    vm = site.vms["north"][0]
+    assert vm.spill.remote_shares(spill_site.DESK, 2, site.now) == {}
+    assert vm.spill.home_share(spill_site.DESK, 2, site.now) == 0.0
+    assert reasons(site)[-1] == (False, "no_figures")
+
+
+def test_a_data_centre_whose_demand_is_missing_does_not_look_idle():
+    # Failure: the reports of one data centre are lost for a moment.
+    site = make_site()
+    site.run(6.0)
+    before = site.share("north")
+    tell = site.figures.tell
+    partial = {name: SHORT[name] for name in ("north", "east", "west")}
+    site.figures.tell = lambda demand, now: tell(partial, now)
+    site.run(3.0)
+    assert site.share("north") == pytest.approx(before, abs=0.02)
+
+
+def test_an_entry_vm_that_has_just_started_joins_gradually():
+    # Failure: an entry VM restarts while load leaves.
+    site = make_site()
+    site.run(6.0)
+    vm = spill_site.EntryVm(site, "north", 99, True)
+    site.vms["north"].append(vm)
+    shares = []
+
+    def note():
+        shares.append(
+            sum(vm.spill.remote_shares(spill_site.DESK, 2, site.now).values())
+        )
+
+    assert vm.spill.remote_shares(spill_site.DESK, 2, site.now) == {}
+    site.run(3.0, note)
+    assert shares[0] < 0.3
+    assert shares[-1] == pytest.approx(site.share("north"), abs=0.03)
+
+
+def test_nothing_leaves_while_the_way_costs_more_than_the_queue():
+    # Failure: a data centre is reached only over a long way.
+    site = make_site({"north": 450.0, **QUIET})
+    site.way_s = 0.4
+    site.run(10.0)
+    assert site.left("north", 6.0) < 0.05
+    assert site.vms["north"][0].spill.decision(spill_site.DESK).reason == (
+        spill.Reason.WAY
+    )
+
+
+def test_a_route_whose_timeout_the_way_exceeds_stays_at_home():
+    # Failure: callers get their answer from elsewhere after the timeout.
+    route = attrs.evolve(
+        echo_harness.ROUTE, target_latency_s=0.1, timeout_s=0.2
+    )
+    site = make_site(routes=(route,))
+    site.way_s = 0.3
+    site.run(8.0)
+    assert site.share("north") == 0.0
+
+
+def test_the_lowest_priority_leaves_first():
+    # Failure: requests of a high priority lose time on the way.
+    high = attrs.evolve(
+        echo_harness.ROUTE, name="r-2", address="198.18.0.2", priority=1
+    )
+    site = make_site(
+        {"north": 600.0, **QUIET}, routes=(echo_harness.ROUTE, high)
+    )
+    site.run(6.0)
+    assert site.share("north", priority=2) > 0.6
+    assert site.share("north", priority=1) < 0.05
+
+
+def test_switched_off_it_decides_nothing():
+    # Failure: the setting has no effect.
+    site = make_site(with_spill=False)
+    site.run(3.0)
+    assert site.share("north") == 0.0
+    assert reasons(site) == []
