--- a/ebonytally/load/way_cost.py
+++ b/ebonytally/load/way_cost.py
@@ -78,9 +78,14 @@
         return max(0.0, there - here)
 
     def is_cut(self, data_centre: str, now: float) -> bool:
-        """Return whether openings there remain unanswered."""
+        """Return whether openings there remain unanswered.
+
+        Home is never cut off: silences there are those of upstreams.
+        """
         way = self._ways.get(data_centre)
-        return way is not None and now < way.cut_until
+        if way is None or data_centre == self._home:
+            return False
+        return now < way.cut_until
 
     def on_opened(self, upstream: str, took_s: float, now: float) -> None:
         """Learn the time of an opening; the way isn't cut."""
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -156,6 +156,18 @@
     assert site.share("north") > 0.4
 
 
+def test_silent_upstreams_at_home_do_not_end_the_shares():
+    # Failure: two upstreams at home are down and not yet known as silent.
+    site = make_site()
+    site.run(5.0)
+    home = [id_ for id_, up in site.upstreams.items() if up.home == "north"]
+    for vm in site.vms["north"]:
+        for id_ in home[:2]:
+            vm.ways.on_silence(id_, site.now)
+    site.run(1.0)
+    assert site.share("north") > 0.45
+
+
 def test_a_retry_leaves_the_data_centre_that_did_not_answer():
     # Failure: an opening is sent again over a link that has just been cut.
     site = make_site()
