--- a/benches/load_model.py
+++ b/benches/load_model.py
@@ -92,12 +92,12 @@
         self.load = shared_load.EntryLoad(
             self.follower,
             self.meter,
-            self.capacity,
             data_centre,
             checks,
             self.recorder,
             seed,
         )
+        self.load.use_capacity(self.capacity)
         self._rng = random.Random(seed)
         self._next_at = 0.0
 
--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -44,11 +44,13 @@
         recorder: recorders.Recorder,
         observers: tuple[interfaces.FlowObserver, ...] = (),
         gate: gates.Gate | None = None,
+        congestion: interfaces.Congestion | None = None,
     ) -> None:
         """Create a forwarder without flows.
 
         :param observers: hear what packets show about upstreams
         :param gate: admits new flows; None admits all
+        :param congestion: tells when this VM's link delays packets
         """
         self._registry = registry
         self._follower = follower
@@ -65,6 +67,7 @@
             self._cookies,
             observers,
             recorder,
+            congestion,
         )
         self._unanswered = openings.Unanswered()
         self._swept_at = 0.0
@@ -152,7 +155,9 @@
             packet, route, service, now
         ):
             return [packets.Reset(packet)]
-        packets_out = self._openings.begin(packet, service, now)
+        packets_out = self._openings.begin(
+            packet, service, route.priority, now
+        )
         return list(packets_out) or self._refuse_without_upstream(
             packet, service, now
         )
--- a/ebonytally/echo/openings.py
+++ b/ebonytally/echo/openings.py
@@ -42,6 +42,7 @@
 
     packet: packets.Packet
     service: str
+    priority: int
     tried: tuple[str, ...]
     sent_at: float
     began_at: float
@@ -91,16 +92,20 @@
         cookies: cookie_lib.Cookies,
         observers: tuple[interfaces.FlowObserver, ...],
         recorder: recorders.Recorder,
+        congestion: interfaces.Congestion | None = None,
     ) -> None:
         """Create an empty set of openings.
 
         :param observers: hear of openings and silences
+        :param congestion: tells when this VM's link delays packets; then
+            upstreams aren't silent, and nothing is tried elsewhere
         """
         self._registry = registry
         self._placing = placing
         self._cookies = cookies
         self._observers = observers
         self._recorder = recorder
+        self._congestion = congestion
         self._openings: dict[bytes, _Opening] = {}
         self._ticked_at = 0.0
 
@@ -112,16 +117,23 @@
         self,
         packet: packets.Packet,
         service: str,
+        priority: int,
         now: float,
     ) -> Offers:
-        """Offer a new flow to an upstream; return [] if there is none."""
-        chosen = self._choose(service, (), now)
+        """Offer a new flow to an upstream; return [] if there is none.
+
+        :param priority: priority class of the flow's route
+        """
+        chosen = self._choose(service, priority, (), now)
         if chosen is None:
             return []
+        if self._placing.is_elsewhere(chosen):
+            self._recorder.count("flows_sent_elsewhere")
         if len(self._openings) < MAX_OPENINGS:
             self._openings[packet.key] = _Opening(
                 packet,
                 service,
+                priority,
                 (chosen.id,),
                 now,
                 now,
@@ -133,7 +145,7 @@
         """Handle a retransmitted opening packet: its caller still waits."""
         opening = self._openings[packet.key]
         opening.packet = packet
-        if now - self._ticked_at > MAX_TICK_GAP_S:
+        if now - self._ticked_at > MAX_TICK_GAP_S or self._is_congested(now):
             return self._resend(opening, opening.tried[-1])
         return self._try_next(opening, "copy", now)
 
@@ -175,8 +187,9 @@
         out: Offers = []
         paused_s = now - self._ticked_at
         self._ticked_at = now
+        is_late = paused_s > MAX_TICK_GAP_S or self._is_congested(now)
         for key, opening in list(self._openings.items()):
-            if paused_s > MAX_TICK_GAP_S:
+            if is_late:
                 opening.sent_at = now
             if now - opening.began_at > OPENING_TIMEOUT_S:
                 self._remove(key, opening)
@@ -187,6 +200,12 @@
                 out += self._try_next(opening, "silent", now)
         return out
 
+    def _is_congested(self, now: float) -> bool:
+        """Return whether answers may wait at this VM's link."""
+        return self._congestion is not None and self._congestion.is_congested(
+            now
+        )
+
     def _try_next(self, opening: _Opening, trigger: str, now: float) -> Offers:
         """Offer a flow to another upstream after a silence.
 
@@ -201,7 +220,9 @@
         is_backed_off = self._count_silence(opening, trigger, now)
         chosen = None
         if not opening.exhausted:
-            chosen = self._choose(opening.service, opening.tried, now)
+            chosen = self._choose(
+                opening.service, opening.priority, opening.tried, now
+            )
         self._recorder.log_event(
             events.Event.UPSTREAM_SILENT,
             flow=opening.packet.key.hex(),
@@ -255,15 +276,17 @@
     def _choose(
         self,
         service: str,
+        priority: int,
         tried: tuple[str, ...],
         now: float,
     ) -> records.Record | None:
         """Return an upstream, the next best if another one has its cookie."""
-        chosen = self._placing.choose(service, tried, now)
+        chosen = self._placing.choose(service, priority, tried, now)
         if chosen is None:
             return None
         if not self._cookies.has_own_cookie(chosen):
-            return self._placing.choose(service, (*tried, chosen.id), now)
+            tried = (*tried, chosen.id)
+            return self._placing.choose(service, priority, tried, now)
         return chosen
 
     def _remove(self, key: bytes, opening: _Opening) -> None:
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -3,19 +3,10 @@
 from ebonytally import actions
 from ebonytally import deployment as deployments
 from ebonytally.echo import forwarder
-from ebonytally.echo import gate
 from ebonytally.echo import packets
 from ebonytally.echo import placing
 from ebonytally.feed import follower
-from ebonytally.load import admission
-from ebonytally.load import classes
-from ebonytally.load import demand
-from ebonytally.load import fair_shares
-from ebonytally.load import figures
-from ebonytally.load import interfaces
-from ebonytally.load import link_room
-from ebonytally.load import shared_load
-from ebonytally.load import upstream_room
+from ebonytally.load import composition
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -46,30 +37,26 @@
             self._registry,
             recorder,
         )
+        self.decisions = composition.build(
+            deployment, self._registry, self.follower, recorder, seed
+        )
         placement = placing.Placing(
             self._registry,
             self.follower,
             deployment.cold_slack,
             deployment.cfg.data_centre,
             seed,
-        )
-        meter = demand.DemandMeter(self._registry)
-        self.shared_load = shared_load.EntryLoad(
-            self.follower,
-            meter,
-            None,
-            deployment.cfg.data_centre,
-            figures.Checks(deployment.data_centres, recorder),
-            recorder,
-            seed,
+            self.decisions.capacity,
+            self.decisions.spill,
         )
         self.forwarder = forwarder.Forwarder(
             self._registry,
             self.follower,
             placement,
             recorder,
-            (meter,),
-            gate=_gate(deployment, None, recorder),
+            self.decisions.observers,
+            self.decisions.gate,
+            self.decisions.delay,
         )
         self._stopping = False
 
@@ -104,7 +91,7 @@
     ) -> list[actions.Action]:
         """Handle a message from a control VM."""
         actions_ = self.follower.handle(peer, msg, now)
-        self.shared_load.handle(peer, msg, now)
+        self.decisions.shared_load.handle(peer, msg, now)
         self.forwarder.on_update()
         return actions_
 
@@ -117,27 +104,5 @@
         :return: packets to send, and messages to control VMs
         """
         self._registry.expire(now)
-        messages = self.follower.tick(now) + self.shared_load.tick(now)
+        messages = self.follower.tick(now) + self.decisions.tick(now)
         return self.forwarder.tick(now), messages
-
-
-def _gate(
-    deployment: deployments.Deployment,
-    capacity: interfaces.Capacity | None,
-    recorder: recorders.Recorder,
-) -> gate.Gate:
-    """Return the gate for new flows, open without admission."""
-    cfg = deployment.load
-    if not cfg.admission:
-        return gate.Gate(None, None, recorder)
-    known = classes.Classes()
-    link = link_room.LinkRoom(
-        deployment.link_bytes_s, cfg.reserved_share, known
-    )
-    decisions = admission.LoadAdmission(
-        known,
-        link,
-        upstream_room.UpstreamRoom(capacity, cfg.reserved_share, known),
-        fair_shares.FairShares(),
-    )
-    return gate.Gate(decisions, link, recorder)
--- a/ebonytally/load/admission.py
+++ b/ebonytally/load/admission.py
@@ -5,6 +5,7 @@
 """
 
 from ebonytally.load import classes
+from ebonytally.load import demand
 from ebonytally.load import fair_shares
 from ebonytally.load import interfaces
 from ebonytally.load import link_room
@@ -27,15 +28,18 @@
         link: link_room.LinkRoom,
         upstreams: upstream_room.UpstreamRoom,
         shares: fair_shares.FairShares,
+        meter: demand.DemandMeter | None = None,
     ) -> None:
         """Create an admission without load.
 
         :param classes_: the same that `link` and `upstreams` use
+        :param meter: counts refused flows as demand
         """
         self._classes = classes_
         self._link = link
         self._upstreams = upstreams
         self._shares = shares
+        self._meter = meter
 
     def decide(
         self, opening: interfaces.Opening, now: float
@@ -44,6 +48,8 @@
         self._classes.add(opening, now)
         self._link.settle(now)
         verdict = self.preview(opening, now)
+        if self._meter is not None and not verdict.is_admitted:
+            self._meter.on_refused(opening.service, now)
         if verdict.is_admitted:
             self._upstreams.count(opening, now)
             self._link.reserve(opening, now)
--- a/ebonytally/load/interfaces.py
+++ b/ebonytally/load/interfaces.py
@@ -191,6 +191,25 @@
             while the own data centre has room
         """
 
+    def home_share(self, service: str, priority: int, now: float) -> float:
+        """Return the share of new flows to open at home.
+
+        One may go to a data centre of `remote_shares` if home looks full.
+        What is left of it and `remote_shares` is for the choice among all
+        upstreams by the load that this entry VM sees: everything while
+        there are no figures, or while home has room.
+        """
+
+
+class Congestion(Protocol):
+    """Tells whether packets queue at this entry VM's link."""
+
+    def delay_s(self, now: float) -> float:
+        """Return the queue's delay in seconds, 0 if too little is known."""
+
+    def is_congested(self, now: float) -> bool:
+        """Return whether the queue makes working upstreams look silent."""
+
 
 class Traffic(Protocol):
     """Counts the bytes that callers' packets bring to the VM's link.
--- a/ebonytally/load/link_room.py
+++ b/ebonytally/load/link_room.py
@@ -43,6 +43,20 @@
 # share of a request.
 REFUSAL_DEMAND = 1 / 3
 DEMAND_WINDOW_S = 0.4
+# Delay of the link's queue at which a level is refused, whatever was
+# counted: what is dropped or counted otherwise before this VM isn't known.
+MAX_DELAY_S = {
+    classes.Level.LOWEST: 0.04,
+    classes.Level.MIDDLE: 0.08,
+    classes.Level.HIGHEST: 0.25,
+}
+# With less traffic a delay has another cause than the link.
+MIN_DELAYED_RATE_SHARE = 0.3
+# Part of the bandwidth that the link turns out to carry: lowered by each
+# slot with a queue, raised slowly without one.
+MIN_USABLE_SHARE = 0.5
+USABLE_FALL = 0.95
+USABLE_RISE_PER_S = 0.02
 # Two packets of full size and their answers, for very slow links.
 MIN_QUEUE_BYTES = 4_000
 # Counted beyond this, a queue would only delay the return of openings
@@ -107,17 +121,21 @@
         bytes_s: float,
         reserved_share: float,
         classes_: classes.Classes,
+        delay: interfaces.Congestion | None = None,
     ) -> None:
         """Create an idle link.
 
         :param bytes_s: bandwidth of each direction, 0 for no limit
         :param reserved_share: share of the bandwidth that only the
             highest level may use; the middle level may use half of it
+        :param delay: measures the link's queue, None without it
         """
         self.received = 0
         self.sent = 0
         self._bytes_s = bytes_s
         self._classes = classes_
+        self._delay = delay
+        self._usable_share = 1.0
         self._drains = [
             bytes_s
             * TARGET_SHARE
@@ -151,11 +169,12 @@
         limit = max(limits[level] * self._bytes_s, MIN_QUEUE_BYTES)
         queue = max(0.0, state.queues[level], state.queues[-1])
         # With a large reserve the level's own drain is the lower limit.
-        rate = state.rate / min(
+        enough = self._usable_share * min(
             MIN_RATE_SHARE * self._bytes_s,
             TARGET_SHARE * self._drains[level],
         )
-        return min(queue / limit, rate)
+        counted = min(queue / limit, state.rate / enough)
+        return max(counted, self._delay_s(state, now) / MAX_DELAY_S[level])
 
     def reserve(self, opening: interfaces.Opening, now: float) -> None:
         """Count the bytes that an admitted flow will bring."""
@@ -216,9 +235,18 @@
         for level, unused in self._needs.expire(now):
             self._refund(level, unused)
         self._end_slot(now)
-        if self._state.demand < OVERLOAD_END_SHARE * self._bytes_s:
+        bandwidth = self._usable_share * self._bytes_s
+        if self._state.demand < OVERLOAD_END_SHARE * bandwidth:
             self.is_overloaded = False
 
+    def _delay_s(self, state: _State, now: float) -> float:
+        """Return the delay of the link's queue, 0 with little traffic."""
+        if self._delay is None:
+            return 0.0
+        if state.rate < MIN_DELAYED_RATE_SHARE * self._bytes_s:
+            return 0.0
+        return self._delay.delay_s(now)
+
     def _at(self, now: float) -> _State:
         """Return the state at a time, with the pending bytes."""
         old = self._state
@@ -240,6 +268,7 @@
         elif now >= state.credit_until:
             state.credit_s = 0.0
         for level, drain in enumerate(self._drains):
+            drain *= self._usable_share
             drained = state.queues[level] - drain * elapsed
             state.queues[level] = max(-drain * state.credit_s, drained)
         self._add(state, self._pending)
@@ -281,5 +310,15 @@
         is_saturated = self._slot_received >= SATURATED_SHARE * capacity
         if is_saturated and not self._state.credit_s:
             self._add(self._state, HIDDEN_SHARE * capacity)
+        self._learn_usable_share(elapsed, now)
         self._slot_at = now
         self._slot_received = 0
+
+    def _learn_usable_share(self, elapsed: float, now: float) -> None:
+        """Adapt the usable share of the bandwidth after a slot."""
+        lowest = MAX_DELAY_S[classes.Level.LOWEST]
+        if self._delay_s(self._state, now) > lowest:
+            share = max(MIN_USABLE_SHARE, self._usable_share * USABLE_FALL)
+        else:
+            share = min(1.0, self._usable_share + USABLE_RISE_PER_S * elapsed)
+        self._usable_share = share
--- a/ebonytally/load/shared_load.py
+++ b/ebonytally/load/shared_load.py
@@ -35,7 +35,6 @@
         self,
         follower: followers.Follower,
         meter: demands.DemandMeter,
-        capacity: interfaces.Capacity | None,
         data_centre: str,
         checks: figures.Checks,
         recorder: recorders.Recorder,
@@ -43,12 +42,11 @@
     ) -> None:
         """Set up without figures.
 
-        :param capacity: source of suspicions, None for none
         :param data_centre: data centre of this entry VM and its callers
         """
         self._follower = follower
         self._meter = meter
-        self._capacity = capacity
+        self._capacity: interfaces.Capacity | None = None
         self._data_centre = data_centre
         self._checks = checks
         self._recorder = recorder
@@ -63,6 +61,13 @@
         self._figures_at = -1e9
         self._view_version = 0
 
+    def use_capacity(self, capacity: interfaces.Capacity) -> None:
+        """Set the source of this VM's own suspicions.
+
+        It takes the other VMs' suspicions from here, so it is created later.
+        """
+        self._capacity = capacity
+
     def demand_per_s(
         self, service: str, now: float
     ) -> Mapping[str, float] | None:
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -439,7 +439,7 @@
     meter = demand.DemandMeter(load_model._Registry())
     checks, recorder = make_checks()
     entry = shared_load.EntryLoad(
-        follower, meter, None, "north", checks, recorder, 1
+        follower, meter, "north", checks, recorder, 1
     )
     for step in range(150):
         cluster.run(control_tests.STEP_S)
