--- a/ebonytally/feed/silences.py
+++ b/ebonytally/feed/silences.py
@@ -5,6 +5,7 @@
 as long as a control VM stands by it.
 """
 
+import functools
 from typing import Protocol
 
 import attrs
@@ -13,6 +14,8 @@
 from ebonytally.registry import registry as registries
 
 CHECK_INTERVAL_S = 0.1
+# After a cut all upstreams may be silent; each is looked at this often.
+SCAN_INTERVAL_S = 0.5
 # Upstreams asked for at a time. The answer takes some 5 KB; a link of
 # 1.5 Mbit/s carries 19 KB in this time.
 MAX_ASKED = 48
@@ -64,7 +67,10 @@
         # confirmed, and who told them, by upstream id.
         self._unconfirmed: dict[str, tuple[str, records.Record]] = {}
         self._silences: dict[str, _Silence] = {}
+        # Ids of silences that no control VM stood by at the last scan.
+        self._doubtful: list[str] = []
         self._checked_at = 0.0
+        self._scanned_at = 0.0
 
     def merge(self, peer: str, record: records.Record, now: float) -> None:
         """Merge a record that a control VM told."""
@@ -85,24 +91,62 @@
         These are silences that no control VM stands by: all that told
         them have started again since, or aren't heard.
         """
-        for peer, record in list(self._unconfirmed.values()):
-            self._merge_silence(peer, record, now)
         if now - self._checked_at < CHECK_INTERVAL_S:
             return ()
         self._checked_at = now
-        asked: list[str] = []
-        for id_, silence in list(self._silences.items()):
+        self._merge_unconfirmed(now)
+        if now - self._scanned_at >= SCAN_INTERVAL_S:
+            self._scanned_at = now
+            self._forget_ended()
+            self._doubtful = self._not_upheld(now)
+        due: list[tuple[float, str]] = []
+        for id_ in self._doubtful:
+            silence = self._silences.get(id_)
+            if silence is None or self._withdraw(id_, silence, now):
+                continue
+            is_answered = (
+                silence.contradicted_by
+                and now - silence.contradicted_at < 2 * WITHDRAW_AFTER_S
+            )
+            if not is_answered and now - silence.asked_at >= ASK_AGAIN_S:
+                due.append((silence.asked_at, id_))
+        # Those that weren't asked yet come first.
+        asked = tuple(id_ for _, id_ in sorted(due)[:MAX_ASKED])
+        for id_ in asked:
+            self._silences[id_].asked_at = now
+        return asked
+
+    def _merge_unconfirmed(self, now: float) -> None:
+        """Merge silences whose upstreams nobody that is heard may hear."""
+        # A cut makes thousands of them, but few control VMs.
+        is_heard = functools.cache(
+            lambda name: self._control_vms.is_heard(name, now)
+        )
+        for peer, record in list(self._unconfirmed.values()):
+            if not is_heard(record.lost):
+                self._merge_silence(peer, record, now)
+
+    def _forget_ended(self) -> None:
+        """Forget silences of upstreams that have expired or changed."""
+        for id_ in list(self._silences):
             entry = self._registry.get(id_)
             if entry is None or entry.record.state != records.State.SILENT:
                 del self._silences[id_]
-            elif not self._is_upheld(silence, now):
-                if self._withdraw(id_, silence, now):
-                    continue
-                is_due = now - silence.asked_at >= ASK_AGAIN_S
-                if is_due and len(asked) < MAX_ASKED:
-                    silence.asked_at = now
-                    asked.append(id_)
-        return tuple(asked)
+
+    def _not_upheld(self, now: float) -> list[str]:
+        """Return the ids of silences that no control VM stands by."""
+
+        @functools.cache
+        def is_upheld_by(teller: tuple[str, int]) -> bool:
+            name, start = teller
+            vms = self._control_vms
+            return vms.start_of(name) == start and vms.is_heard(name, now)
+
+        return [
+            id_
+            for id_, silence in self._silences.items()
+            if not any(map(is_upheld_by, silence.tellers.items()))
+        ]
 
     def _merge_silence(
         self, peer: str, record: records.Record, now: float
@@ -145,14 +189,6 @@
         silence.contradicted_by = peer
         silence.contradiction = record
 
-    def _is_upheld(self, silence: _Silence, now: float) -> bool:
-        """Return whether a control VM that told a silence may stand by it."""
-        vms = self._control_vms
-        return any(
-            vms.start_of(name) == start and vms.is_heard(name, now)
-            for name, start in silence.tellers.items()
-        )
-
     def _withdraw(self, id_: str, silence: _Silence, now: float) -> bool:
         """Withdraw a silence that was contradicted long enough ago."""
         peer = silence.contradicted_by
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -183,3 +183,40 @@
     for _ in range(20):
         system.run(0.1)
         assert system.states() == {STATE.READY}
+
+
+def test_doubts_about_all_upstreams_of_a_large_fleet_are_settled_in_time():
+    """Questions about the first upstreams must not keep others waiting."""
+    first, second = (echo_harness.ControlVm(name) for name in ("c1", "c2"))
+    for control_vm in (first, second):
+        control_vm.names = ("c1", "c2")
+        control_vm.apply_configuration(2)
+    for number in range(1, 2901):
+        announcement = echo_harness.announcement(
+            number, address=f"10.0.{number >> 8}.{number & 255}"
+        )
+        entry = first.registry.on_announcement(announcement, 0.0)
+        second.registry.merge(entry.record, 0.0)
+    entry_vm = echo_harness.EntryVm("e1", [first, second])
+    entry_vm.run(1.0)
+    entry_vm.unreachable = {"c1"}
+    second.registry.mark_silent_upstreams(frozenset(), 100.0)
+    entry_vm.run(8.0)
+    silent = entry_vm.registry.get("i-00000001").record.state
+    assert silent == STATE.SILENT
+    entry_vm.unreachable = {"c2"}
+    entry_vm.run(BACK_S)
+    states = {entry.record.state for entry in entry_vm.registry.entries()}
+    assert states == {STATE.READY}
+
+
+def test_silences_of_forgotten_upstreams_are_forgotten():
+    """Guards against memory that grows with each upstream that ends."""
+    system = CutSystem()
+    system.muted = set(UPSTREAMS)
+    system.run(5.0)
+    assert system.states() == {STATE.SILENT}
+    system.now += 60.0
+    system.run(1.0)
+    assert len(system.entry._registry) == 0
+    assert not system.entry.follower._silences._silences
