--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -187,7 +187,7 @@
                 self.agreement.has_leader_contact(now, LEADER_TIMEOUT_S),
                 self.exchange.count_entry_vms(self._followers, now),
                 now,
-                frozenset(self.exchange.live_peers(now)),
+                self.exchange.agreeing_peers(now),
             )
         self._update_services()
         if isinstance(msg, feed_messages.PartWanted):
--- a/ebonytally/feed/server.py
+++ b/ebonytally/feed/server.py
@@ -92,13 +92,13 @@
         """Answer a poll.
 
         An entry VM gets upstreams that are ready from the control VM that
-        it follows, if that one is heard here. What must be stopped, it
-        gets from all.
+        it follows, if that one knows what this one knows. What must be
+        stopped, it gets from all.
 
         :param control_vms: names of all known control VMs
         :param in_touch: this control VM follows a leader, or is one
         :param entry_vms: approximate number of entry VMs
-        :param heard: other control VMs that are heard
+        :param heard: other control VMs that know what this one knows
         """
         self._polled_at[peer] = now
         if msg.primary:
--- a/ebonytally/registry/gossip.py
+++ b/ebonytally/registry/gossip.py
@@ -14,6 +14,9 @@
 DIGEST_INTERVAL_S = 0.5
 # A control VM that has sent no digest for this long is considered lost.
 PEER_TIMEOUT_S = 2.0
+# Registries that differ for longer don't only differ by what is in transit
+# while many upstreams start.
+AGREEMENT_TIMEOUT_S = 3.0
 # A change is resent once after this time, since datagrams get lost.
 RESEND_AFTER_S = 0.2
 # A difference in two successive digests is not a change still in transit.
@@ -33,11 +36,13 @@
     """State of another control VM.
 
     `followers` entry VMs follow it; `differing_digests` counts successive
-    digests that differ from the local one.
+    digests that differ from the local one; `agreed_at` is the time of the
+    last one that was equal.
     """
 
     def __init__(self, now: float) -> None:
         self.heard_at = now
+        self.agreed_at = now
         self.differing_digests = 0
         self.followers = 0
         self.is_lost = False
@@ -80,6 +85,17 @@
             if now - peer.heard_at <= PEER_TIMEOUT_S
         ]
 
+    def agreeing_peers(self, now: float) -> frozenset[str]:
+        """Return the control VMs that know what this one knows.
+
+        Messages to a peer may be lost while it is heard.
+        """
+        return frozenset(
+            name
+            for name in self.live_peers(now)
+            if now - self._peers[name].agreed_at <= AGREEMENT_TIMEOUT_S
+        )
+
     def count_entry_vms(self, own: int, now: float) -> int:
         """Return how many entry VMs follow any control VM that is heard.
 
@@ -235,6 +251,7 @@
         peer.followers = msg.followers
         if msg.records == self._registry.digest():
             peer.differing_digests = 0
+            peer.agreed_at = now
             return []
         peer.differing_digests += 1
         if peer.differing_digests < DIFFERING_DIGESTS:
--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -155,3 +155,21 @@
             out = exchange.handle(f"c{number}", msg, step * 0.5)
             compared += len(out)
     assert compared <= 11
+
+
+def test_a_peer_that_is_heard_but_gets_nothing_is_not_relied_on():
+    """A cut in one direction: entry VMs would miss new upstreams."""
+    registry = registry_tests.make_registry()
+    exchange = gossip.RegistryGossip(
+        "c1", (), registry, recorders.MemoryRecorder()
+    )
+    digest = registry.digest()
+    registry_tests.announce(registry, 0.0)
+    for step in range(10):
+        now = step * 0.5
+        exchange.handle("c2", records.Digest(digest, 0, ""), now)
+        exchange.handle("c3", records.Digest(registry.digest(), 0, ""), now)
+        if step == 4:
+            assert exchange.agreeing_peers(now) == {"c2", "c3"}
+    assert exchange.live_peers(now) == ["c2", "c3"]
+    assert exchange.agreeing_peers(now) == {"c3"}
