--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -19,6 +19,7 @@
     "capacity",
     "placing",
     "feed",
+    "heartbeats",
 )
 
 
--- a/ebonytally/deployment.py
+++ b/ebonytally/deployment.py
@@ -41,6 +41,7 @@
     :param cold_slack: requests/s that an upstream in slow start can serve
     :param stop_timeout_s: maximum time from the stop signal to the process's
         end
+    :param max_connections: open connections to `orders_endpoint`, at most
     """
 
     name: str
@@ -56,3 +57,4 @@
     flow_ttl_s: float
     cold_slack: float
     stop_timeout_s: float
+    max_connections: int
--- a/ebonytally/http_bounds.py
+++ b/ebonytally/http_bounds.py
@@ -1,7 +1,11 @@
 """Handler for gevent's HTTP server that limits its connections."""
 
+import contextlib
+import types
+
 import gevent
 from gevent import pywsgi
+from gevent import socket
 
 
 # With fewer free places, connections are closed after their answers: idle
@@ -10,18 +14,45 @@
 
 
 class BoundedHandler(pywsgi.WSGIHandler):
-    """Closes a connection after a fixed time, and when there are many.
+    """Closes a connection that is idle or slow, and when there are many.
 
-    :cvar max_connection_s: seconds that a connection may stay open
+    :cvar max_request_s: seconds from an answer, or from the connection's
+        opening, until the next answer is sent
     """
 
-    max_connection_s = 20.0
+    max_request_s = 20.0
+
+    def handle_one_request(self) -> bool | tuple | None:
+        """Serve a request; None closes the connection, also on a timeout."""
+        with gevent.Timeout(self.max_request_s, False):
+            return super().handle_one_request()
+
+    def run_application(self) -> None:
+        """Call the application; shut the connection down on a timeout.
 
-    def handle(self) -> None:
-        """Serve the connection until it ends or times out."""
-        with gevent.Timeout(self.max_connection_s, False):
-            # Closes the connection in its `finally`, also on the timeout.
-            super().handle()
+        Otherwise the base class would wait for the rest of the body.
+        """
+        try:
+            super().run_application()
+        except gevent.Timeout:
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RDWR)
+            raise
+
+    def handle_error(
+        self,
+        kind: type[BaseException],
+        exc: BaseException,
+        trace: types.TracebackType,
+    ) -> None:
+        """Answer an exception with 500, unless the connection timed out.
+
+        A client that reads no answers would block the 500 without a limit.
+        """
+        if isinstance(exc, gevent.Timeout):
+            self.close_connection = True
+            return
+        super().handle_error(kind, exc, trace)
 
     def finalize_headers(self) -> None:
         """Close the connection after this answer if there are many."""
--- a/ebonytally/metrics_http.py
+++ b/ebonytally/metrics_http.py
@@ -13,7 +13,7 @@
 class _MetricsHandler(http_bounds.BoundedHandler):
     """Closes a connection after `CONNECTION_TIMEOUT_S`."""
 
-    max_connection_s = CONNECTION_TIMEOUT_S
+    max_request_s = CONNECTION_TIMEOUT_S
 
 
 class MetricsServer:
--- a/ebonytally/platform/http_calls.py
+++ b/ebonytally/platform/http_calls.py
@@ -67,7 +67,11 @@
         # knows its last sequence number.
         self._heartbeat_reply = json.dumps({"heartbeat-url": address}).encode()
         http_server.serve(
-            deployed.orders_endpoint, stack, self._handle, recorder
+            deployed.orders_endpoint,
+            stack,
+            self._handle,
+            recorder,
+            deployed.max_connections,
         )
 
     def _handle(self, environ: dict) -> http_server.Reply:
--- a/ebonytally/platform/http_server.py
+++ b/ebonytally/platform/http_server.py
@@ -10,7 +10,8 @@
 from ebonytally import http_bounds
 from ebonytally import recorder as recorders
 
-MAX_CONNECTIONS = 512
+# All upstreams connect at once after the control VM that they used is lost.
+BACKLOG = 1024
 
 Reply = tuple[str, list[tuple[str, str]], bytes]
 
@@ -20,12 +21,14 @@
     stack: contextlib.ExitStack,
     handle: Callable[[dict], Reply],
     recorder: recorders.Recorder,
+    max_connections: int,
 ) -> None:
     """Open a port and answer the calls to it.
 
     :param stack: closes the port
     :param handle: takes a WSGI environ, returns status, headers and body;
         an unexpected exception is logged and answered with 500
+    :param max_connections: that may be open at the same time
     :raises OSError: when the port can't be opened
     """
 
@@ -45,7 +48,8 @@
         log=None,
         error_log=None,
         handler_class=http_bounds.BoundedHandler,
-        spawn=pool.Pool(MAX_CONNECTIONS),
+        spawn=pool.Pool(max_connections),
+        backlog=BACKLOG,
     )
     server.start()
     stack.callback(server.stop, timeout=0.2)
--- a/ebonytally/platform/node_settings.py
+++ b/ebonytally/platform/node_settings.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import os
+import resource
 import tomllib
 
 import attrs
@@ -22,6 +23,8 @@
 # previous one is lost.
 _REPLACED_AFTER_S = 1.0
 _SNAPSHOT_ENTRIES = 40
+# For the log's files, the ports and the connections between control VMs.
+_RESERVED_FDS = 200
 
 
 @attrs.frozen
@@ -45,6 +48,16 @@
     cold_slack: float = 5.0
 
 
+@attrs.frozen
+class _Limits:
+    """Limits of the VM.
+
+    :param max_fds: descriptors that the process may have open
+    """
+
+    max_fds: int = 4096
+
+
 @attrs.frozen
 class _File:
     """The fields of the settings file that are used.
@@ -66,6 +79,7 @@
     heartbeat_ms: float = 1000.0
     zones: dict[str, str] = attrs.field(factory=dict)
     bounds: _Bounds = attrs.field(factory=_Bounds)
+    limits: _Limits = attrs.field(factory=_Limits)
 
 
 def path() -> str:
@@ -117,9 +131,22 @@
         flow_ttl_s=file.bounds.flow_ttl_s,
         cold_slack=file.bounds.cold_slack,
         stop_timeout_s=file.bounds.grace_s / 2,
+        max_connections=max_connections(file.limits.max_fds),
     )
 
 
+def max_connections(max_fds: int) -> int:
+    """Return the connections that leave enough descriptors for the rest.
+
+    :param max_fds: limit of descriptors in the settings; the process's own
+        limit may be lower
+    """
+    process_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if process_limit != resource.RLIM_INFINITY:
+        max_fds = min(max_fds, process_limit)
+    return max(1, max_fds // 2, max_fds - _RESERVED_FDS)
+
+
 def _endpoint(text: str) -> deployment.Endpoint | None:
     """Return the endpoint of ``ip:port``, None for an empty text."""
     if not text:
--- a/ebonytally/platform/readiness.py
+++ b/ebonytally/platform/readiness.py
@@ -7,6 +7,8 @@
 from ebonytally.platform import http_server
 from ebonytally import recorder as recorders
 
+# The routers open a few connections.
+_MAX_CONNECTIONS = 512
 _PATH = "/v1/readiness"
 
 
@@ -28,4 +30,4 @@
         status = "200 OK" if is_ready() else "503 Service Unavailable"
         return status, [], b""
 
-    http_server.serve(endpoint, stack, handle, recorder)
+    http_server.serve(endpoint, stack, handle, recorder, _MAX_CONNECTIONS)
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -44,6 +44,7 @@
         flow_ttl_s=60.0,
         cold_slack=5.0,
         stop_timeout_s=3.0,
+        max_connections=512,
     )
 
 
--- a/tests/test_entry_role.py
+++ b/tests/test_entry_role.py
@@ -47,6 +47,7 @@
         flow_ttl_s=60.0,
         cold_slack=5.0,
         stop_timeout_s=3.0,
+        max_connections=512,
     )
     recorder = recorders.MemoryRecorder()
     poll = messages.Poll(1, 0, 0, 0, 0, True)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -144,6 +144,16 @@
     assert deployed.data_centres == {"cwm-a", "cwm-b"}
 
 
+@pytest.mark.parametrize(
+    ("max_fds", "connections"), [(900, 700), (300, 150), (0, 1)]
+)
+def test_connections_leave_descriptors_for_the_rest(max_fds, connections):
+    """Guards against a log that can't be opened for want of descriptors."""
+    text = f"{SETTINGS}[limits]\nmax-fds = {max_fds}\n"
+    deployed = node_settings.to_deployment(tomllib.loads(text))
+    assert deployed.max_connections == connections
+
+
 def test_error_in_settings_names_type_or_field():
     broken = SETTINGS.replace('zone = "cwm-a"', "zone = 5")
     with pytest.raises(decode.DecodeError, match="type str"):
--- a/tests/test_unexpected_input.py
+++ b/tests/test_unexpected_input.py
@@ -161,7 +161,7 @@
     handler = FailingHandler()
     endpoint = deployment.Endpoint("127.0.0.1", test_http_bounds.free_port())
     with contextlib.ExitStack() as stack:
-        http_server.serve(endpoint, stack, handler.handle, recorder)
+        http_server.serve(endpoint, stack, handler.handle, recorder, 8)
         conn = socket.create_connection(
             (endpoint.address, endpoint.port), timeout=2.0
         )
