--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -20,6 +20,7 @@
     "placing",
     "feed",
     "load",
+    "heartbeats",
 )
 
 
--- a/ebonytally/deployment.py
+++ b/ebonytally/deployment.py
@@ -45,6 +45,7 @@
     :param link_bytes_s: bandwidth of the VM's link in each direction, 0 if
         it isn't known
     :param load: settings of the decisions under load
+    :param max_connections: open connections to `orders_endpoint`, at most
     """
 
     name: str
@@ -60,5 +61,6 @@
     flow_ttl_s: float
     cold_slack: float
     stop_timeout_s: float
+    max_connections: int
     link_bytes_s: float = 0.0
     load: load_settings.Load = load_settings.Load()
--- a/ebonytally/platform/node_settings.py
+++ b/ebonytally/platform/node_settings.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import os
+import resource
 import tomllib
 import typing
 
@@ -24,6 +25,8 @@
 # previous one is lost.
 _REPLACED_AFTER_S = 1.0
 _SNAPSHOT_ENTRIES = 40
+# For the log's files, the ports and the connections between control VMs.
+_RESERVED_FDS = 200
 _BYTES_PER_MEGABIT = 125_000
 _T = typing.TypeVar("_T")
 
@@ -59,9 +62,11 @@
     """What the VM's machine gives it.
 
     :param link_mbps: megabits a second in each direction, 0 if unknown
+    :param max_fds: descriptors that the process may have open
     """
 
     link_mbps: float = attrs.field(default=0.0, validator=_check_not_negative)
+    max_fds: int = attrs.field(default=4096, validator=_check_not_negative)
 
 
 @attrs.frozen
@@ -139,6 +144,7 @@
         stop_timeout_s=file.bounds.grace_s / 2,
         link_bytes_s=limits.link_mbps * _BYTES_PER_MEGABIT,
         load=_table(raw, "load", load_settings.Load),
+        max_connections=max_connections(limits.max_fds),
     )
 
 
@@ -168,6 +174,18 @@
     return result
 
 
+def max_connections(max_fds: int) -> int:
+    """Return the connections that leave enough descriptors for the rest.
+
+    :param max_fds: limit of descriptors in the settings; the process's own
+        limit may be lower
+    """
+    process_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if process_limit != resource.RLIM_INFINITY:
+        max_fds = min(max_fds, process_limit)
+    return max(1, max_fds // 2, max_fds - _RESERVED_FDS)
+
+
 def _endpoint(text: str) -> deployment.Endpoint | None:
     """Return the endpoint of ``ip:port``, None for an empty text."""
     if not text:
