--- a/ebonytally/load/shared_load.py
+++ b/ebonytally/load/shared_load.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+import math
 import random
 
 from ebonytally import actions
@@ -197,7 +198,11 @@
         rates = self._meter.rates_per_s(now)
         shared = self._totals.demand if self._is_fresh(now) else {}
         names = sorted(
-            (name for name in rates if name in self._checks.services),
+            (
+                name
+                for name, rate in rates.items()
+                if name in self._checks.services and math.isfinite(rate)
+            ),
             key=lambda name: (name not in shared, -rates[name], name),
         )
         room = figures.MAX_DATAGRAM_BYTES - figures.HEAD_BYTES
@@ -220,5 +225,7 @@
                     100 * min(suspicion.failing, 1.0),
                 )
                 for suspicion in self._capacity.suspicions(now)
+                if math.isfinite(suspicion.slowdown)
+                and math.isfinite(suspicion.failing)
             )
         )
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -303,6 +303,24 @@
     assert (got.slowdown, got.failing) == (figures.MAX_SLOWDOWN, 1.0)
 
 
+@pytest.mark.parametrize("bad", [math.nan, math.inf, -math.inf])
+def test_own_figure_that_is_not_finite_does_not_stop_the_timers(bad):
+    """Rounding or sorting it would raise out of the entry VM's tick."""
+    site = make_site()
+    for vm in site.entry.values():
+        vm.capacity.found = (
+            interfaces.Suspicion(8, bad, 0.0),
+            interfaces.Suspicion(9, 6.0, bad),
+            SLOW,
+        )
+        rates = {"desk": RATE_PER_S / 2, "store": bad}
+        vm.meter.rates_per_s = lambda now, rates=rates: rates
+    site.run(2.5)
+    assert run_checked(site, 2.0) == 1.0
+    for vm in site.entry.values():
+        assert set(vm.load.suspicions(site.now)) == {SLOW.cookie}
+
+
 BAD_RATES = (-1.0, math.nan, math.inf, -math.inf, 1e30)
 
 
