--- a/ebonytally/load/figures.py
+++ b/ebonytally/load/figures.py
@@ -26,6 +26,8 @@
 # A million requests a second.
 MAX_PER_100_S = 1e8
 MAX_SLOWDOWN = 100.0
+# Whole numbers up to here are exact in every build's types.
+MAX_SENT_MS = 2**53
 MAX_COOKIE = 2**32 - 1
 # A share of failures above it makes an upstream no worse.
 _MAX_FAILING = 0.95
@@ -115,11 +117,16 @@
         self._data_centres = data_centres
         self._recorder = recorder
 
-    def report(self, msg: messages.LoadReport) -> messages.LoadReport:
+    def report(self, msg: messages.LoadReport) -> messages.LoadReport | None:
         """Return a report without the figures that can't be true.
 
         One of an unknown data centre has no demand left.
+
+        :return: None if its sending time can't be true
         """
+        if not _is_within(msg.sent_ms, MAX_SENT_MS):
+            self._refuse()
+            return None
         rates: dict[str, messages.ServiceRate] = {}
         for rate in msg.demand[:MAX_SERVICES]:
             if rate.service in rates or not self._is_rate_valid(rate):
@@ -141,8 +148,14 @@
     def totals(
         self, msg: messages.LoadSummary | messages.LoadSums
     ) -> Totals | None:
-        """Return the sums of a message, None if their age can't be true."""
-        if not _is_within(msg.age_ms, MAX_TOLD_AGE_MS):
+        """Return the sums of a message.
+
+        :return: None if their age or their sending time can't be true
+        """
+        if not (
+            _is_within(msg.sent_ms, MAX_SENT_MS)
+            and _is_within(msg.age_ms, MAX_TOLD_AGE_MS)
+        ):
             self._refuse()
             return None
         totals = Totals(age_s=msg.age_ms / 1000)
@@ -279,7 +292,8 @@
 
 
 def _is_within(value: float, high: float) -> bool:
-    return math.isfinite(value) and 0.0 <= value <= high
+    # Not `math.isfinite`, which raises OverflowError for a long integer.
+    return 0.0 <= value <= high
 
 
 def _is_possible(suspected: messages.Suspected) -> bool:
--- a/ebonytally/load/load_server.py
+++ b/ebonytally/load/load_server.py
@@ -108,6 +108,8 @@
         """
         if isinstance(msg, messages.LoadReport):
             report = self._checks.report(msg)
+            if report is None:
+                return []
             is_new = self._keep(self._reports, peer, msg.sent_ms, report, now)
             if not is_new or report.is_empty or now < self._complete_at:
                 return []
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -366,6 +366,20 @@
     assert checks.totals(messages.LoadSums(1, bad)) is None
 
 
+@pytest.mark.parametrize("sent_ms", [-1, 2**53 + 1, 2**64, int(1e300)])
+def test_report_sent_at_an_impossible_time_is_not_answered(sent_ms):
+    """msgpack can't encode the answer with a whole number above 2**64."""
+    checks, recorder = make_checks()
+    server = load_server.LoadServer(checks, lambda cookie: "desk")
+    for step in range(8):
+        server.tick((), step * 0.25)
+    report = messages.LoadReport(sent_ms, "south", (RATE("desk", 2000.0),))
+    assert server.handle("e1", report, 1.75) == []
+    sums = messages.LoadSums(sent_ms, data_centres=CENTRES)
+    assert server.handle("c2", sums, 1.75) == []
+    assert recorder.counts == {"load_figures_refused": 2}
+
+
 def test_excess_figures_and_unknown_data_centres_are_dropped():
     checks, recorder = make_checks()
     many = tuple(RATE("desk", 1.0) for _ in range(40))
@@ -376,7 +390,12 @@
     assert report.demand == ()
 
 
-NUMBER = st.one_of(st.integers(-(2**40), 2**40), st.floats(), st.none())
+NUMBER = st.one_of(
+    st.integers(-(2**40), 2**40),
+    st.sampled_from([2**53 + 1, 2**64 - 1, -(2**63), 1e300]),
+    st.floats(),
+    st.none(),
+)
 NAME = st.sampled_from((*SERVICES, *CENTRES, "", "unknown"))
 ROW = st.one_of(
     st.tuples(NAME, NUMBER),
@@ -395,6 +414,8 @@
     st.tuples(NUMBER, NAME, ROWS, ROWS),
     st.integers(0, 5),
 )
+@hypothesis.example(660, (), (1e300, "north", [("desk", 5.0)], []), 4)
+@hypothesis.example(662, (1e300, 0.0, ["north"], [], []), (), 5)
 def test_any_message_leaves_only_possible_figures(
     kind, totals_fields, report_fields, kept
 ):
@@ -410,9 +431,13 @@
     server = load_server.LoadServer(checks, lambda cookie: "desk")
     for step in range(8):
         server.tick((), step * 0.25)
-    server.handle("e9", msg, 1.75)
+    for action in server.handle("e9", msg, 1.75):
+        wire.encode(fakes.KEY, "c1", action.msg)
     report = messages.LoadReport(5, "south", (RATE("store", 2000.0),))
     (answer,) = server.handle("e1", report, 1.9)
+    wire.encode(fakes.KEY, "c1", answer.msg)
+    for action in server.tick(["c2"], 2.0):
+        wire.encode(fakes.KEY, "c1", action.msg)
     totals = checks.totals(answer.msg)
     assert totals.demand["store"]["south"] >= 2000.0
     for rates in totals.demand.values():
