--- a/ebonytally/load/figures.py
+++ b/ebonytally/load/figures.py
@@ -43,6 +43,8 @@
     :param data_centres: those of which an entry VM has reported
     :param age_s: age of the figures
     :param cut_reports: number of reports that lack services
+    :param left_out_per_100_s: demand of the largest service that these sums
+        lack although there are reports about it
     """
 
     demand: dict[str, dict[str, float]] = attrs.field(factory=dict)
@@ -51,6 +53,12 @@
     data_centres: set[str] = attrs.field(factory=set)
     age_s: float = 0.0
     cut_reports: int = 0
+    left_out_per_100_s: float = 0.0
+
+    @property
+    def is_cut(self) -> bool:
+        """Return whether services are missing."""
+        return self.cut_reports > 0 or self.left_out_per_100_s > 0.0
 
     @property
     def is_empty(self) -> bool:
@@ -99,6 +107,9 @@
         self.data_centres |= other.data_centres
         self.age_s = max(self.age_s, other.age_s)
         self.cut_reports += other.cut_reports
+        self.left_out_per_100_s = max(
+            self.left_out_per_100_s, other.left_out_per_100_s
+        )
 
 
 class Checks:
@@ -170,6 +181,12 @@
         totals.suspected = self._suspicions(msg.suspicions)
         if isinstance(msg, messages.LoadSums):
             totals.cut_reports = max(0, min(msg.cut_reports, MAX_REPORTERS))
+            if _is_within(msg.left_out_per_100_s, MAX_PER_100_S):
+                totals.left_out_per_100_s = msg.left_out_per_100_s
+            else:
+                # Something is missing, of unknown size.
+                totals.left_out_per_100_s = MAX_PER_100_S
+                self._refuse()
         totals.data_centres = {
             name for name in names if self._is_data_centre(name)
         }
@@ -275,6 +292,26 @@
     ]
 
 
+def largest_left_out(
+    totals: Totals, told: Iterable[messages.ServiceDemand]
+) -> int:
+    """Return the demand of the largest service that isn't told.
+
+    :return: requests in 100 s, rounded up; 0 if all services are told
+    """
+    names = {row.service for row in told}
+    return math.ceil(
+        max(
+            (
+                sum(rates.values())
+                for name, rates in totals.demand.items()
+                if name not in names
+            ),
+            default=0.0,
+        )
+    )
+
+
 def fit(items: Iterable, room_bytes: int) -> tuple[tuple, int]:
     """Return the first items that fit, and the bytes that are left."""
     fitting = []
--- a/ebonytally/load/load_server.py
+++ b/ebonytally/load/load_server.py
@@ -139,7 +139,10 @@
         fields = self._fields(
             totals, figures.MAX_SERVICES, figures.MAX_DATAGRAM_BYTES, 0.0
         )
-        msg = messages.LoadSums(round(now * 1000), *fields, totals.cut_reports)
+        left_out = figures.largest_left_out(totals, fields[2])
+        msg = messages.LoadSums(
+            round(now * 1000), *fields, totals.cut_reports, left_out
+        )
         return [actions.Send(name, msg) for name in peers]
 
     def _keep(
@@ -213,10 +216,11 @@
             merged.demand = {}
         for service, count in missing.reporters.items():
             merged.add_reporters(service, count)
+        is_cut = merged.is_cut or missing.is_cut
         merged.suspected = {
             cookie: suspected
             for cookie, suspected in merged.suspected.items()
-            if self._is_confirmed(suspected, merged)
+            if self._is_confirmed(suspected, merged, is_cut)
         }
         self._merged = merged
         self._merged_at = now
@@ -236,14 +240,20 @@
         return False
 
     def _is_confirmed(
-        self, suspected: messages.Suspected, totals: figures.Totals
+        self,
+        suspected: messages.Suspected,
+        totals: figures.Totals,
+        is_cut: bool,
     ) -> bool:
         """Return whether enough entry VMs suspect an upstream.
 
         Where a service has one reporter only, there is no other to ask.
+        Reports and sums that lack services may hide further reporters.
         """
         if suspected.reporters >= MIN_REPORTERS:
             return True
+        if is_cut:
+            return False
         service = self._service_of(suspected.cookie)
         return service is not None and totals.reporters.get(service, 0) <= 1
 
--- a/ebonytally/load/messages.py
+++ b/ebonytally/load/messages.py
@@ -110,6 +110,8 @@
     :param demand: services with the largest demand first
     :param suspicions: suspicions of any follower, worst first
     :param cut_reports: number of reports that lack services
+    :param left_out_per_100_s: demand of the largest service that isn't in
+        `demand` for lack of room, requests in 100 s
     """
 
     sent_ms: int = 0
@@ -118,3 +120,4 @@
     demand: tuple[ServiceDemand, ...] = ()
     suspicions: tuple[Suspected, ...] = ()
     cut_reports: int = 0
+    left_out_per_100_s: float = 0.0
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -32,6 +32,23 @@
 RATE = messages.ServiceRate
 
 
+def make_checks():
+    recorder = recorders.MemoryRecorder()
+    checks = figures.Checks(frozenset(CENTRES), recorder)
+    checks.services = frozenset(SERVICES)
+    return checks, recorder
+
+
+def started_server(checks=None):
+    """Return a control VM that answers reports, at second 1.75."""
+    if checks is None:
+        checks, _ = make_checks()
+    server = load_server.LoadServer(checks, lambda cookie: "desk")
+    for step in range(8):
+        server.tick((), step * 0.25)
+    return server
+
+
 def make_site(rate_per_s=RATE_PER_S, control_vms=3, **change):
     site = load_model.Site(
         control_vms, 6, CENTRES, SERVICES, rate_per_s, **change
@@ -168,11 +185,7 @@
 
 
 def test_older_report_and_older_sums_are_ignored():
-    checks = figures.Checks(frozenset(CENTRES), recorders.MemoryRecorder())
-    server = load_server.LoadServer(checks, lambda cookie: "desk")
-    server.use_services(frozenset(SERVICES))
-    for step in range(8):
-        server.tick((), step * 0.25)
+    server = started_server()
     old = messages.LoadReport(100, "north", (RATE("desk", 9000.0),))
     new = messages.LoadReport(700, "north", (RATE("desk", 2000.0),))
     server.handle("e1", new, 1.75)
@@ -294,6 +307,47 @@
     assert not suspected_at(site)
 
 
+def test_one_suspicion_is_not_confirmed_where_reports_are_cut():
+    """Services that reports leave out seem to have a single reporter."""
+    names = tuple(f"service-{n:03}" for n in range(60))
+    site = load_model.Site(2, 12, CENTRES, names, 600.0)
+    site.service_of.update(enumerate(names, start=1))
+    first = next(iter(site.entry.values()))
+    for start in range(1, 60, 14):
+        first.capacity.found = tuple(
+            interfaces.Suspicion(cookie, 6.0, 0.0)
+            for cookie in range(start, start + 14)
+        )
+        site.run(4.0)
+        for vm in site.entry.values():
+            assert not vm.load.suspicions(site.now)
+
+
+@pytest.mark.parametrize("age_s", [0.1, 1.6])
+@pytest.mark.parametrize("left_out", [0.0, 500.0])
+def test_one_suspicion_is_not_confirmed_where_sums_are_cut(left_out, age_s):
+    """Sums without a service may come from several of its reporters."""
+    server = started_server()
+    sums = messages.LoadSums(
+        1,
+        0.0,
+        ("north",),
+        (messages.ServiceDemand("store", (900.0,), 2),),
+        left_out_per_100_s=left_out,
+    )
+    server.handle("c2", sums, 1.75)
+    for step in range(round(age_s / 0.1)):
+        server.tick((), 1.75 + step * 0.1)
+    report = messages.LoadReport(
+        1,
+        "south",
+        (RATE("desk", 2000.0),),
+        (messages.Suspected(SLOW.cookie, 60.0, 0.0),),
+    )
+    (answer,) = server.handle("e1", report, 1.75 + age_s)
+    assert bool(answer.msg.suspicions) == (left_out == 0.0)
+
+
 def test_absurd_suspicion_of_a_source_is_clamped_when_sent():
     site = make_site()
     for vm in list(site.entry.values())[:2]:
@@ -324,13 +378,6 @@
 BAD_RATES = (-1.0, math.nan, math.inf, -math.inf, 1e30)
 
 
-def make_checks():
-    recorder = recorders.MemoryRecorder()
-    checks = figures.Checks(frozenset(CENTRES), recorder)
-    checks.services = frozenset(SERVICES)
-    return checks, recorder
-
-
 @pytest.mark.parametrize("bad", BAD_RATES)
 def test_impossible_number_is_dropped_and_the_rest_is_used(bad):
     checks, recorder = make_checks()
@@ -370,9 +417,7 @@
 def test_report_sent_at_an_impossible_time_is_not_answered(sent_ms):
     """msgpack can't encode the answer with a whole number above 2**64."""
     checks, recorder = make_checks()
-    server = load_server.LoadServer(checks, lambda cookie: "desk")
-    for step in range(8):
-        server.tick((), step * 0.25)
+    server = started_server(checks)
     report = messages.LoadReport(sent_ms, "south", (RATE("desk", 2000.0),))
     assert server.handle("e1", report, 1.75) == []
     sums = messages.LoadSums(sent_ms, data_centres=CENTRES)
@@ -428,9 +473,7 @@
     except wire.FrameError:
         return
     checks, _ = make_checks()
-    server = load_server.LoadServer(checks, lambda cookie: "desk")
-    for step in range(8):
-        server.tick((), step * 0.25)
+    server = started_server(checks)
     for action in server.handle("e9", msg, 1.75):
         wire.encode(fakes.KEY, "c1", action.msg)
     report = messages.LoadReport(5, "south", (RATE("store", 2000.0),))
