--- a/benches/load_model.py
+++ b/benches/load_model.py
@@ -150,6 +150,8 @@
     :ivar cuts: pairs of VMs without connection
     :ivar stopped: names of VMs that lose what is sent to them
     :ivar paused: names of VMs at which messages wait
+    :ivar is_backlog_first: a VM handles what waited before its first tick
+        after a pause, instead of after that tick
     :ivar loss: share of messages that are lost
     :ivar repeated: share of messages that arrive again, up to 3 s later
     :ivar sent: bytes with headers by sender and class of message
@@ -182,6 +184,7 @@
         self.cuts: set[frozenset[str]] = set()
         self.stopped: set[str] = set()
         self.paused: set[str] = set()
+        self.is_backlog_first = False
         self.loss = 0.0
         self.repeated = 0.0
         self.sent: dict[str, dict[str, int]] = {}
@@ -226,7 +229,12 @@
     def _run_vm(self, name: str, vm: Any) -> None:
         if isinstance(vm, EntryVm):
             vm.request(self.now)
+        if self.is_backlog_first:
+            self._deliver_waiting(name)
         self._send(name, vm.tick(self.now))
+        self._deliver_waiting(name)
+
+    def _deliver_waiting(self, name: str) -> None:
         for frame in self._waiting.pop(name, ()):
             self._deliver(name, frame)
 
--- a/ebonytally/load/load_server.py
+++ b/ebonytally/load/load_server.py
@@ -104,8 +104,11 @@
         """Handle a report of an entry VM or sums of a control VM.
 
         One that is no newer than the known one is ignored. No report is
-        answered until those of all followers should have arrived.
+        answered until those of all followers should have arrived. After a
+        pause, what arrives before the next tick is ignored.
         """
+        if self._is_paused(now):
+            return []
         if isinstance(msg, messages.LoadReport):
             report = self._checks.report(msg)
             if report is None:
@@ -165,14 +168,19 @@
         return True
 
     def _drop_after_pause(self, now: float) -> None:
-        ticked_at = self._ticked_at
+        is_paused = self._is_paused(now)
         self._ticked_at = now
-        if ticked_at is not None and now - ticked_at <= MAX_TICK_GAP_S:
+        if not is_paused:
             return
         self._complete_at = now + COLLECT_S
         self._reports.clear()
         self._sums.clear()
 
+    def _is_paused(self, now: float) -> bool:
+        """Return whether there was no tick for long, or none at all."""
+        ticked_at = self._ticked_at
+        return ticked_at is None or now - ticked_at > MAX_TICK_GAP_S
+
     def _expire(self, now: float) -> None:
         _remove_older(self._reports, figures.MAX_AGE_S, now)
         _remove_older(self._sums, MAX_MISSING_AGE_S, now)
