--- a/ebonytally/load/load_server.py
+++ b/ebonytally/load/load_server.py
@@ -16,9 +16,9 @@
 from ebonytally.load import messages
 
 SUMS_INTERVAL_S = 0.5
-# Sums are 0.8 s old when the next ones come; these may be lost once. Older
-# ones would make the summary too old before the next one arrives.
-MAX_SUMS_AGE_S = 1.4
+# Sums are up to 1.2 s old when the next ones come, 1.7 s if these are lost.
+# Entry VMs don't use figures above 2 s.
+MAX_SUMS_AGE_S = 1.9
 # Sums that should have been replaced by now. While some are late, followers
 # may be in them and in newer ones.
 LATE_SUMS_S = 0.6
@@ -266,14 +266,13 @@
         return service is not None and totals.reporters.get(service, 0) <= 1
 
     def _own_totals(self, now: float) -> figures.Totals:
-        """Return the sums of the own followers, with their mean age."""
+        """Return the sums of the own followers, with their oldest age."""
         totals = figures.Totals()
-        ages_s = [0.0]
         for item in self._reports.values():
             report = item.content
             if report.is_empty:
                 continue
-            ages_s.append(now - item.at)
+            totals.age_s = max(totals.age_s, now - item.at)
             totals.cut_reports += report.is_cut
             if report.demand:
                 totals.data_centres.add(report.data_centre)
@@ -287,7 +286,6 @@
                 totals.add_reporters(service, 1)
             for suspected in report.suspicions:
                 totals.add_suspected(suspected)
-        totals.age_s = sum(ages_s) / max(1, len(ages_s) - 1)
         return totals
 
     def _fields(
--- a/ebonytally/load/messages.py
+++ b/ebonytally/load/messages.py
@@ -105,7 +105,7 @@
     """Send the sums of the own followers' reports to a control VM.
 
     :param sent_ms: sending time on the sender's monotonic clock
-    :param age_ms: mean age of the reports at sending
+    :param age_ms: age of the oldest report at sending
     :param data_centres: those of which a follower has reported
     :param demand: services with the largest demand first
     :param suspicions: suspicions of any follower, worst first
