--- a/ebonytally/load/load_server.py
+++ b/ebonytally/load/load_server.py
@@ -86,6 +86,8 @@
         self._sums: dict[str, _Kept[figures.Totals]] = {}
         self._merged = figures.Totals()
         self._merged_at = -1e9
+        # Services of which other control VMs' sums may lack too much.
+        self._incomplete: frozenset[str] = frozenset()
         # Requests in 100 s when nothing was missing last.
         self._complete_per_100_s = 0.0
         self._sums_sent_at = -1e9
@@ -200,7 +202,9 @@
         )
         least = MIN_COVERED_SHARE * totals.cut_reports
         demand = tuple(
-            row if row.reporters >= least else attrs.evolve(row, per_100_s=())
+            row
+            if row.reporters >= least and row.service not in self._incomplete
+            else attrs.evolve(row, per_100_s=())
             for row in demand
         )
         return messages.LoadSummary(sent_ms, age_ms, names, demand, suspicions)
@@ -214,14 +218,18 @@
         self._expire(now)
         merged = self._own_totals(now)
         missing = figures.Totals()
+        cut_sums = []
         for item in self._sums.values():
             age_s = item.content.age_s + now - item.at
             if age_s < MAX_SUMS_AGE_S:
                 merged.add(attrs.evolve(item.content, age_s=age_s))
+                if item.content.left_out_per_100_s:
+                    cut_sums.append(item.content)
             elif age_s < MAX_MISSING_AGE_S:
                 missing.add(item.content)
         if self._is_incomplete(merged, missing, now):
             merged.demand = {}
+        self._incomplete = _incomplete_services(merged, cut_sums)
         for service, count in missing.reporters.items():
             merged.add_reporters(service, count)
         is_cut = merged.is_cut or missing.is_cut
@@ -314,6 +322,25 @@
         return round(totals.age_s * 1000), names, demand, suspicions
 
 
+def _incomplete_services(
+    merged: figures.Totals, cut_sums: list[figures.Totals]
+) -> frozenset[str]:
+    """Return services of which a large part may be missing.
+
+    :param cut_sums: those among the merged ones that lack services
+    """
+    incomplete = set()
+    for service, rates in merged.demand.items():
+        missing = sum(
+            sums.left_out_per_100_s
+            for sums in cut_sums
+            if service not in sums.demand
+        )
+        if missing > MAX_MISSING_SHARE * sum(rates.values()):
+            incomplete.add(service)
+    return frozenset(incomplete)
+
+
 def _remove_older(
     kept: dict[str, _Kept[_T]], age_s: float, now: float
 ) -> None:
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -577,6 +577,37 @@
                 assert rate > 0.5 * expected
 
 
+def test_sums_without_room_for_all_services_tell_what_they_leave_out():
+    names = [f"a-service-with-a-long-name-{n:04}" for n in range(28)]
+    checks, _ = make_checks()
+    checks.services = frozenset(names)
+    server = started_server(checks)
+    for half in (names[:14], names[14:]):
+        rates = tuple(RATE(name, 1e6 + int(name[-4:])) for name in half)
+        report = messages.LoadReport(1, "north", rates)
+        server.handle(half[0], report, 1.75)
+    (action,) = server.tick(["c2"], 2.0)
+    told_rows = action.msg.demand
+    assert 1 <= len(told_rows) < 28
+    assert action.msg.left_out_per_100_s == told_rows[-1].per_100_s[0] - 1
+
+
+@pytest.mark.parametrize(
+    ("left_out", "rates"), [(1800.0, ()), (300.0, ()), (100.0, (0, 2000))]
+)
+def test_service_that_other_sums_leave_out_is_not_told_in_part(
+    left_out, rates
+):
+    """The others' demand for it is unknown, up to the told bound."""
+    server = started_server()
+    sums = messages.LoadSums(1, 0.0, ("north",), left_out_per_100_s=left_out)
+    server.handle("c2", sums, 1.75)
+    report = messages.LoadReport(1, "south", (RATE("desk", 2000.0),))
+    (answer,) = server.handle("e1", report, 1.9)
+    (row,) = answer.msg.demand
+    assert row.per_100_s == rates
+
+
 def test_control_nodes_and_entry_nodes_exchange_load():
     """The nodes dispatch the messages to the shared load."""
     cluster = control_tests.started_cluster()
