--- a/ebonytally/control_node.py
+++ b/ebonytally/control_node.py
@@ -14,6 +14,7 @@
 from ebonytally.feed import start_notifier
 from ebonytally.load import figures
 from ebonytally.load import load_server
+from ebonytally.load import messages as load_messages
 from ebonytally import ports
 from ebonytally import recorder as recorders
 from ebonytally.registry import gossip
@@ -200,7 +201,7 @@
             )
         self._update_services()
         if kind in _LOAD_KINDS:
-            return self._load.handle(peer, msg, now)
+            return self._handle_load(peer, msg, now)
         if isinstance(msg, feed_messages.PartWanted):
             return self._source.handle_part_wanted(peer, msg)
         if isinstance(msg, feed_messages.RecordsWanted):
@@ -256,6 +257,14 @@
         self.registry.use_services(services)
         self._load.use_services(services)
 
+    def _handle_load(
+        self, peer: str, msg: object, now: float
+    ) -> list[actions.Action]:
+        is_sums = isinstance(msg, load_messages.LoadSums)
+        if is_sums and not self.exchange.is_control_vm(peer):
+            return []
+        return self._load.handle(peer, msg, now)
+
     def _service_of(self, cookie: int) -> str | None:
         """Return the service of an upstream's cookie, None if unknown."""
         entry = self._cookies.entry(cookie)
--- a/ebonytally/registry/gossip.py
+++ b/ebonytally/registry/gossip.py
@@ -80,6 +80,16 @@
             if now - peer.heard_at <= PEER_TIMEOUT_S
         ]
 
+    def is_control_vm(self, name: str) -> bool:
+        """Return whether a name is that of another control VM.
+
+        Known are seeds, voters, and those that have sent digests and
+        aren't lost.
+        """
+        peer = self._peers.get(name)
+        is_heard = peer is not None and not peer.is_lost
+        return is_heard or name in self._seeds or name in self._voters
+
     def count_entry_vms(self, own: int, now: float) -> int:
         """Return how many entry VMs follow any control VM that is heard.
 
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -636,6 +636,22 @@
     assert rates == {"north": pytest.approx(50.0, rel=0.1)}
 
 
+@pytest.mark.parametrize("sender", ["b", "e9"])
+def test_sums_are_taken_from_known_control_vms_only(sender):
+    """An entry VM's sums would count as a control VM's followers."""
+    cluster = control_tests.started_cluster()
+    assert cluster.propose(cluster.leader, control_tests.put_command(2))
+    cluster.run(2.0)
+    node = cluster.nodes["a"]
+    row = messages.ServiceDemand("desk", (3000.0,), 2)
+    sums = messages.LoadSums(1, 0.0, ("south",), (row,))
+    node.handle(sender, sums, 662, cluster.now)
+    report = messages.LoadReport(1, "north", (RATE("desk", 2000.0),))
+    (answer,) = node.handle("e1", report, 660, cluster.now)
+    told_centres = ("north", "south") if sender == "b" else ("north",)
+    assert answer.msg.data_centres == told_centres
+
+
 def test_entry_node_reports_the_requests_in_its_callers_packets():
     """The node observes its packets, and reports when it ticks."""
     base = control_tests.make_deployment("e1", ("c1",), False)
