--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -24,9 +24,13 @@
 
 SERVICES = ("desk", "store")
 CENTRES = ("north", "south")
-RATE_PER_S = 40.0
+RATE_PER_S = 400.0
 # Three entry VMs in each data centre; half of the requests for each service.
-EXPECTED = {"north": 60.0, "south": 60.0}
+EXPECTED = {"north": 600.0, "south": 600.0}
+# A tenth of the demand may be missing (`load_server.MAX_MISSING_SHARE`), and
+# four standard deviations of 600 requests a second counted over 0.8 s are
+# 13%. A third that is missing, an entry VM's, is below it.
+LOW = 0.77
 WARM_UP_S = 4.0
 SLOW = interfaces.Suspicion(7, 6.0, 0.25)
 RATE = messages.ServiceRate
@@ -65,7 +69,7 @@
     ]
 
 
-def run_checked(site, seconds, low=0.6, high=1.5):
+def run_checked(site, seconds, low=LOW, high=1.5):
     """Run; check all figures at each tick; return the share that is known.
 
     A sum without some of the reports would let the others take this data
@@ -99,7 +103,7 @@
     site = make_site(rate_per_s=0.0)
     assert not site.sent
     busy = next(iter(site.entry.values()))
-    busy.rate_per_s = RATE_PER_S
+    busy.rate_per_s = 40.0
     site.run(WARM_UP_S)
     reporters = [name for name in site.entry if name in site.sent]
     assert [site.entry[name] for name in reporters] == [busy]
@@ -164,18 +168,20 @@
 
 
 @pytest.mark.parametrize("is_backlog_first", [True, False])
-@pytest.mark.parametrize("control_vms", [1, 3])
 @pytest.mark.parametrize(
-    ("paused_s", "low"),
+    ("control_vms", "paused_s", "low"),
     [
-        (2.2, 0.6),
+        (1, 2.2, LOW),
+        # 2.8 s after its last sums, the others tell what they know.
+        (3, 2.2, 0.6),
         # Reports of followers that don't change their primary are spaced
         # out by then, and the first ones to come again are few.
-        (4.0, 0.3),
+        (1, 4.0, 0.3),
+        (3, 4.0, 0.3),
     ],
 )
 def test_paused_control_vm_tells_no_partial_or_old_sums(
-    paused_s, low, control_vms, is_backlog_first
+    control_vms, paused_s, low, is_backlog_first
 ):
     """What it kept is old, and new reports arrive one after the other."""
     site = make_site(control_vms=control_vms)
@@ -315,10 +321,10 @@
     assert vm.load.demand_per_s("desk", site.now) is None
     site.paused = set()
     # Its callers' packets waited in its socket.
-    for _ in range(120):
+    for _ in range(1200):
         vm.meter.on_request("desk", site.now)
     vm.load.tick(site.now)
-    for _ in range(120):
+    for _ in range(1200):
         vm.meter.on_request("desk", site.now)
     run_checked(site, 5.0, low=0.5)
     assert None not in told(site)
