--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -195,8 +195,10 @@
         if left < home_share:
             # Figures are up to 2 s old: if home is full by the load seen
             # here, one with room by the figures is an alternative.
-            other = self._rng.choice([*shares, ""])
-            remote = candidates.elsewhere.get(other, [])
+            remote: list[registries.Entry] = []
+            if shares:
+                other = self._rng.choice(list(shares))
+                remote = candidates.elsewhere.get(other, [])
             return _Candidates(home=candidates.home, remote=remote)
         return None
 
--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -50,6 +50,7 @@
 class Reason(enum.StrEnum):
     """Why a share of a service's flows leaves the data centre, or none.
 
+    :cvar BELOW_MEAN: home isn't used more than all data centres together
     :cvar NONE_ELSEWHERE: no other data centre has room left
     :cvar WAY: the way elsewhere costs more time than the queue at home
     :cvar NO_FIGURES: demand or room isn't known; the choice is by the load
@@ -59,6 +60,7 @@
     HOME_HAS_ROOM = "home_has_room"
     HOME_SHORT = "home_short"
     NONE_AT_HOME = "none_at_home"
+    BELOW_MEAN = "below_mean"
     NONE_ELSEWHERE = "none_elsewhere"
     WAY = "way"
     NO_FIGURES = "no_figures"
@@ -81,6 +83,11 @@
     utilisation: float = 0.0
     mean: float = 0.0
 
+    @property
+    def keeps_all(self) -> bool:
+        """Return whether flows stay at home because all others are full."""
+        return self.reason == Reason.NONE_ELSEWHERE and self.decided > 0.0
+
 
 @attrs.define
 class _State:
@@ -179,13 +186,15 @@
         return {
             name: share
             for name, share in shares.items()
-            if not self._is_unusable(name, now)
+            if share > 0.0 and not self._is_unusable(name, now)
         }
 
     def home_share(self, service: str, priority: int, now: float) -> float:
         """Return the share of new flows that stays at home.
 
-        What a cut link can't carry is part of it.
+        What a cut link can't carry is part of it. It is 0 if nothing leaves
+        although others may have room: silent upstreams or a burst can fill
+        home before the figures show it.
         """
         state = self._states.get(service)
         if state is None:
@@ -193,6 +202,8 @@
         planned = state.by_priority.get(priority, state.shares)
         decided = max(state.decided, sum(planned.values()))
         sent = sum(self.remote_shares(service, priority, now).values())
+        if not sent and not state.decision.keeps_all:
+            return 0.0
         return max(0.0, decided - sent)
 
     def decision(self, service: str) -> Decision | None:
@@ -277,7 +288,22 @@
         if self._home not in room:
             decided = 1.0 if planned else 0.0
             return Decision(Reason.NONE_AT_HOME, decided, planned, used, mean)
-        return self._weigh(planned, rooms, used, mean, now)
+        above = used - water_filling.START_UTILISATION
+        decided = min(1.0, above / DECIDED_BAND)
+        if len(room) == 1:
+            return Decision(Reason.NONE_ELSEWHERE, 0.0, {}, used, mean)
+        if not any(
+            demand.get(name, 0.0)
+            < water_filling.RECEIVE_UTILISATION * room[name]
+            for name in room
+            if name != self._home
+        ):
+            return Decision(Reason.NONE_ELSEWHERE, decided, {}, used, mean)
+        if not planned:
+            return Decision(Reason.BELOW_MEAN, 0.0, {}, used, mean)
+        shares = self._weigh(planned, rooms[self._home], used, now)
+        reason = Reason.HOME_SHORT if any(shares.values()) else Reason.WAY
+        return Decision(reason, decided, shares, used, mean)
 
     def _demand(self, service: str, now: float) -> dict[str, float] | None:
         """Return the demand by data centre, None without figures.
@@ -301,28 +327,18 @@
     def _weigh(
         self,
         planned: Mapping[str, float],
-        rooms: Mapping[str, room_lib.Room],
+        home: room_lib.Room,
         used: float,
-        mean: float,
         now: float,
-    ) -> Decision:
-        """Return a plan without the shares for which the way is too long."""
-        home = rooms[self._home]
+    ) -> dict[str, float]:
+        """Return a plan less the shares for which the way is too long."""
         queue_s = water_filling.queue_s(
             used, home.slots / home.upstreams, home.service_time_s
         )
-        shares = {
+        return {
             name: share * self._gain(queue_s, name, now)
             for name, share in planned.items()
         }
-        reason = Reason.HOME_SHORT
-        if not planned:
-            reason = Reason.NONE_ELSEWHERE
-        elif not any(shares.values()):
-            reason = Reason.WAY
-        above = used - water_filling.START_UTILISATION
-        decided = min(1.0, above / DECIDED_BAND)
-        return Decision(reason, decided, shares, used, mean)
 
     def _gain(self, queue_s: float, data_centre: str, now: float) -> float:
         """Return the part of a share for which the way pays off, 0 to 1.
--- a/tests/spill_site.py
+++ b/tests/spill_site.py
@@ -106,7 +106,8 @@
     """`upstreams` and `demand` (requests a second) by data centre.
 
     `way_s` is the round trip between data centres; `cut` the data centres
-    whose upstreams don't answer openings from others.
+    whose upstreams don't answer openings from others; `silent` the ids of
+    upstreams that answer none.
     """
 
     def __init__(self, upstreams, vms=4, with_spill=True, seed=1, routes=None):
@@ -115,6 +116,7 @@
         self.now = 0.0
         self.way_s = 0.001
         self.cut = set()
+        self.silent = set()
         self.done = []
         self._rng = random.Random(seed)
         self._events = []
@@ -217,7 +219,8 @@
         up = self.upstreams[record.id]
         load = vm.placing.load(record.id)
         load.opening += 1
-        if up.home in self.cut and up.home != vm.home:
+        is_cut = up.home in self.cut and up.home != vm.home
+        if is_cut or record.id in self.silent:
             self._call(
                 now + 0.06, self._silent, vm, route, (*tried, record.id)
             )
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -42,6 +42,11 @@
     return statistics.mean(site.waits(home, since)[0])
 
 
+def assert_no_more(before, after):
+    """Check two counts: not even two standard errors above `before`."""
+    assert after <= before + 2.0 * math.sqrt(before + after)
+
+
 def reasons(site, home="north"):
     """Return the reasons at which the first VM's load began or ended."""
     return [
@@ -97,6 +102,25 @@
     assert site.left("south", 4.0) < 0.01
 
 
+@pytest.mark.parametrize(
+    ("demand", "others", "silent"), [(400.0, 425.0, 5), (390.0, 400.0, 0)]
+)
+def test_flows_kept_at_home_leave_before_figures_show(demand, others, silent):
+    # Failure: half of home's upstreams fall silent, or a burst arrives,
+    # while other data centres have room.
+    refused = []
+    for on in (False, True):
+        site = make_site(
+            {"north": demand, **dict.fromkeys(QUIET, others)}, with_spill=on
+        )
+        site.run(6.0)
+        site.silent.update(list(site.upstreams)[:silent])
+        site.demand["north"] = demand if silent else 750.0
+        site.run(4.0)
+        refused.append(site.waits("north", 6.0)[1])
+    assert_no_more(*refused)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_shares_settle_within_three_seconds_and_return_without_a_jump(seed):
     # Failure: shares swing with figures that are one second old.
