--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -353,26 +353,27 @@
 
     def _limits(
         self, service: str, decision: Decision, now: float
-    ) -> dict[int, dict[str, float]]:
-        """Return the largest shares that the routes' times allow.
+    ) -> dict[int, water_filling.Limits]:
+        """Return by priority what the routes' times allow.
 
         An answer that would be late elsewhere is still better than none:
         what exceeds home's room may leave until its timeout.
         """
         rooms = self._rooms.by_data_centre(service, now) or {}
         excess = 1.0 - 1.0 / max(1.0, decision.utilisation)
-        limits: dict[int, dict[str, float]] = {}
-        for priority, bounds in self._priorities.bounds(service).items():
-            by_name = limits[priority] = {}
-            for name, room in rooms.items():
-                took_s = room.service_time_s + (
-                    WAY_TRIPS * self._ways.extra_s(name, now)
-                )
-                if took_s > bounds.timeout_s:
-                    by_name[name] = 0.0
-                elif took_s > bounds.target_latency_s:
-                    by_name[name] = excess
-        return limits
+        took_s = {
+            name: room.service_time_s
+            + WAY_TRIPS * self._ways.extra_s(name, now)
+            for name, room in rooms.items()
+        }
+        return {
+            priority: water_filling.Limits(
+                _above(took_s, bounds.timeout_s),
+                _above(took_s, bounds.target_latency_s),
+                excess,
+            )
+            for priority, bounds in self._priorities.bounds(service).items()
+        }
 
     def _log_change(self, service: str, state: _State) -> None:
         """Log that load begins to leave, or no longer does."""
@@ -394,3 +395,7 @@
             utilisation=round(decision.utilisation, 3),
             mean=round(decision.mean, 3),
         )
+
+
+def _above(took_s: Mapping[str, float], limit_s: float) -> frozenset[str]:
+    return frozenset(name for name, s in took_s.items() if s > limit_s)
--- a/ebonytally/load/water_filling.py
+++ b/ebonytally/load/water_filling.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping
 import math
 
+import attrs
+
 # Utilisation from which load leaves. Below it queues are short, and flows
 # at home survive when data centres are cut off from each other.
 START_UTILISATION = 0.7
@@ -24,6 +26,21 @@
 Amounts = Mapping[str, float]
 
 
+@attrs.frozen
+class Limits:
+    """What the times of a priority's routes allow.
+
+    :param closed: data centres whose answers would pass the timeout
+    :param late: those whose answers would pass the target latency
+    :param late_share: `late` ones get flows only until this share of the
+        priority's flows leaves in total
+    """
+
+    closed: frozenset[str] = frozenset()
+    late: frozenset[str] = frozenset()
+    late_share: float = 1.0
+
+
 def utilisation(demand_per_s: float, room_per_s: float) -> float:
     """Return demand by room, infinite if there is demand without room."""
     if room_per_s > 0.0:
@@ -142,26 +159,45 @@
 def split_by_priority(
     wanted: Amounts,
     mix: Mapping[int, float],
-    limits: Mapping[int, Amounts],
+    limits: Mapping[int, Limits],
 ) -> dict[int, dict[str, float]]:
     """Return shares by priority, with the lowest priorities leaving first.
 
     :param wanted: share of the whole demand, by data centre
     :param mix: share of the demand by priority, their sum 1
-    :param limits: by priority and data centre, the largest share of the
-        priority's flows that may go there; 1 if missing
+    :param limits: by priority, none if missing
     """
     left = dict(wanted)
     result: dict[int, dict[str, float]] = {}
     for priority in sorted(mix, reverse=True):
         part = mix[priority]
-        free = 1.0
-        by_name = result[priority] = {}
-        for name in wanted:
-            limit = limits.get(priority, {}).get(name, 1.0)
-            share = min(left[name] / part if part else 0.0, free, limit)
-            if share > NEGLIGIBLE_SHARE:
-                by_name[name] = share
-                free -= share
-                left[name] = max(0.0, left[name] - share * part)
+        limit = limits.get(priority, Limits())
+        wants = {
+            name: per_s / part if part else 0.0
+            for name, per_s in left.items()
+            if name not in limit.closed
+        }
+        by_name = result[priority] = _allowed(wants, limit)
+        for name, share in by_name.items():
+            left[name] = max(0.0, left[name] - share * part)
     return result
+
+
+def _allowed(wants: Amounts, limit: Limits) -> dict[str, float]:
+    """Return the shares of a priority's flows that may leave."""
+    late = {name: wants[name] for name in wants if name in limit.late}
+    shares: dict[str, float] = {}
+    free = 1.0
+    for name in wants:
+        if name not in late:
+            shares[name] = min(wants[name], free)
+            free -= shares[name]
+    free = max(0.0, min(free, limit.late_share - (1.0 - free)))
+    total = sum(late.values())
+    for name, share in late.items():
+        shares[name] = share * min(1.0, free / total) if total else 0.0
+    return {
+        name: share
+        for name, share in shares.items()
+        if share > NEGLIGIBLE_SHARE
+    }
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -334,6 +334,18 @@
     assert site.share("north") == 0.0
 
 
+def test_late_answers_elsewhere_are_for_what_exceeds_home_s_room():
+    # Failure: the limit counts for each of three receivers, not in total.
+    route = attrs.evolve(
+        echo_harness.ROUTE, target_latency_s=0.1, timeout_s=5.0
+    )
+    site = make_site(routes=(route,))
+    site.way_s = 0.1
+    site.run(8.0)
+    shares = site.vms["north"][0].spill.remote_shares("desk", 2, site.now)
+    assert list(shares.values()) == pytest.approx([1 / 9] * 3, abs=0.01)
+
+
 def test_the_lowest_priority_leaves_first():
     # Failure: requests of a high priority lose time on the way.
     high = attrs.evolve(
