--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -392,10 +392,15 @@
                 name: round(share, 3)
                 for name, share in decision.shares.items()
             },
-            utilisation=round(decision.utilisation, 3),
-            mean=round(decision.mean, 3),
+            utilisation=_figure(decision.utilisation),
+            mean=_figure(decision.mean),
         )
 
 
 def _above(took_s: Mapping[str, float], limit_s: float) -> frozenset[str]:
     return frozenset(name for name, s in took_s.items() if s > limit_s)
+
+
+def _figure(utilisation: float) -> float | None:
+    """Return a rounded utilisation, None without room: JSON has no inf."""
+    return round(utilisation, 3) if math.isfinite(utilisation) else None
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -1,6 +1,7 @@
 """Load that leaves a data centre: balance, gradual change, failures."""
 
 import itertools
+import json
 import math
 import statistics
 
@@ -257,6 +258,7 @@
     assert used["south"] < 0.8
     assert site.waits("north", 4.0)[1] == 0
     assert reasons(site) == [(True, "none_at_home")]
+    json.dumps(site.vms["north"][0].recorder.events[-1][1], allow_nan=False)
 
 
 def test_a_service_only_elsewhere_is_served():
