--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -127,6 +127,16 @@
             if share > END_SHARE / 10 or name in target.shares
         }
 
+    def leaving_share(self, mix: Mapping[int, float]) -> float:
+        """Return the share of all flows that leaves, within the limits.
+
+        :param mix: share of the flows by priority
+        """
+        return sum(
+            mix.get(priority, 0.0) * sum(shares.values())
+            for priority, shares in self.by_priority.items()
+        )
+
     @property
     def is_over(self) -> bool:
         """Return whether the choice is as without figures again."""
@@ -253,12 +263,11 @@
                 state.shares[name] = 0.0
         gain = 1.0 - math.exp(-step_s / change_s)
         state.step(gain, MAX_CHANGE_PER_S * step_s)
+        mix = self._priorities.shares(service, now)
         state.by_priority = water_filling.split_by_priority(
-            state.shares,
-            self._priorities.shares(service, now),
-            self._limits(service, decision, now),
+            state.shares, mix, self._limits(service, decision, now)
         )
-        self._log_change(service, state)
+        self._log_change(service, state, state.leaving_share(mix))
         if state.is_over:
             del self._states[service]
 
@@ -375,10 +384,13 @@
             for priority, bounds in self._priorities.bounds(service).items()
         }
 
-    def _log_change(self, service: str, state: _State) -> None:
-        """Log that load begins to leave, or no longer does."""
+    def _log_change(self, service: str, state: _State, share: float) -> None:
+        """Log that load begins to leave, or no longer does.
+
+        :param share: of the flows that leaves by the present shares
+        """
         bound = END_SHARE if state.leaves else BEGIN_SHARE
-        leaves = sum(state.shares.values()) >= bound
+        leaves = share >= bound
         if leaves == state.leaves:
             return
         state.leaves = leaves
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -334,6 +334,21 @@
     site.way_s = 0.3
     site.run(8.0)
     assert site.share("north") == 0.0
+    # The way isn't known before the first flows went there.
+    assert reasons(site)[-1:] in ([], [(False, "home_short")])
+
+
+@pytest.mark.parametrize(
+    ("others", "reason"), [(425.0, "below_mean"), (600.0, "none_elsewhere")]
+)
+def test_reason_tells_a_data_centre_below_the_mean_from_full_ones(
+    others, reason
+):
+    # Failure: an operator adds upstreams although others have room.
+    site = make_site({"north": 400.0, **dict.fromkeys(QUIET, others)})
+    site.run(3.0)
+    decision = site.vms["north"][0].spill.decision(spill_site.DESK)
+    assert decision.reason == reason
 
 
 def test_late_answers_elsewhere_are_for_what_exceeds_home_s_room():
