--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -321,6 +321,7 @@
 
         The demand of a data centre that is suddenly missing counts for a
         while as before: its figures are more likely lost than its callers.
+        Without home's, all are taken as missing meanwhile.
         """
         demand = self._shared_load.demand_per_s(service, now)
         if demand is None:
@@ -329,10 +330,10 @@
         for name, per_s in demand.items():
             latest[name] = (per_s, now)
         for name, (_, at) in list(latest.items()):
-            if now - at > FIGURE_MEMORY_S or (
-                name == self._home and name not in demand
-            ):
+            if now - at > FIGURE_MEMORY_S:
                 del latest[name]
+        if self._home in latest and self._home not in demand:
+            return None
         return {name: per_s for name, (per_s, _) in latest.items()}
 
     def _weigh(
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -313,6 +313,26 @@
     assert site.share("north") == pytest.approx(before, abs=0.02)
 
 
+def test_home_missing_from_figures_is_like_missing_figures():
+    # Failure: home's own report is lost for a second.
+    lowest = []
+    for is_partial in (False, True):
+        site = make_site()
+        site.figures.delay_s = 0.0
+        site.run(6.0)
+        tell = site.figures.tell
+        site.figures.lost = not is_partial
+        if is_partial:
+            site.figures.tell = lambda demand, now, tell=tell: tell(QUIET, now)
+        samples = run_and_sample(site, 1.0)
+        site.figures.lost = False
+        site.figures.tell = tell
+        samples += run_and_sample(site, 3.0)
+        lowest.append(min(share for _, share in samples))
+    assert lowest[1] == pytest.approx(lowest[0], abs=0.02)
+    assert samples[-1][1] == pytest.approx(0.5, abs=0.02)
+
+
 def test_an_entry_vm_that_has_just_started_joins_gradually():
     # Failure: an entry VM restarts while load leaves.
     site = make_site()
