--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -234,6 +234,8 @@
         self._next_at = now + REFRESH_S * self._spread()
         self._rooms.update(now)
         services = {*self._rooms.services(), *self._states}
+        for service in self._latest_demand.keys() - services:
+            del self._latest_demand[service]
         self._decisions = {
             service: self._decide(service, now) for service in sorted(services)
         }
--- a/ebonytally/load/way_cost.py
+++ b/ebonytally/load/way_cost.py
@@ -142,4 +142,16 @@
         entry = self._registry.get(upstream)
         if entry is None:
             return None
-        return self._ways.setdefault(entry.record.data_centre, _Way())
+        name = entry.record.data_centre
+        if name not in self._ways:
+            self._sweep()
+            self._ways[name] = _Way()
+        return self._ways[name]
+
+    def _sweep(self) -> None:
+        """Forget data centres of which no upstream is registered."""
+        known = {
+            entry.record.data_centre for entry in self._registry.entries()
+        }
+        for name in self._ways.keys() - known:
+            del self._ways[name]
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -414,6 +414,24 @@
     assert site.share("north", priority=1) < 0.05
 
 
+def test_names_that_the_registry_forgot_are_forgotten():
+    # Failure: tables grow with every name of a service or data centre.
+    site = make_site()
+    vm = site.vms["north"][0]
+    for number in range(5):
+        change = {"service": f"s-{number}", "data_centre": f"dc-{number}"}
+        record = attrs.evolve(echo_harness.announcement(999), **change)
+        site.registry.on_announcement(
+            attrs.evolve(record, born_ms=2000 + number), site.now
+        )
+        vm.ways.on_opened(record.id, 0.008, site.now)
+        site.run(1.0)
+    # Shares of services without upstreams fade first.
+    site.run(8.0)
+    assert len(vm.ways._ways) <= 5
+    assert len(vm.spill._latest_demand) <= 2
+
+
 def test_switched_off_it_decides_nothing():
     # Failure: the setting has no effect.
     site = make_site(with_spill=False)
