--- a/ebonytally/load/interfaces.py
+++ b/ebonytally/load/interfaces.py
@@ -194,7 +194,8 @@
     def home_share(self, service: str, priority: int, now: float) -> float:
         """Return the share of new flows to open at home.
 
-        One may go to a data centre of `remote_shares` if home looks full.
+        One may go to a data centre of `remote_shares` if home looks full,
+        and one sent there may go home.
         What is left of it and `remote_shares` is for the choice among all
         upstreams by the load that this entry VM sees: everything while
         there are no figures, or while home has room.
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -10,9 +10,14 @@
 import pytest
 
 from ebonytally.echo import placing
+from ebonytally import entry_node
+from ebonytally.load import messages
+from ebonytally.load import settings
 from ebonytally.load import spill
+from ebonytally import recorder as recorders
 from tests import echo_harness
 from tests import spill_site
+from tests import test_control_node as control_tests
 
 SITE = {"north": 10, "south": 10, "east": 10, "west": 10}
 QUIET = {"south": 250.0, "east": 250.0, "west": 250.0}
@@ -432,6 +437,68 @@
     assert len(vm.spill._latest_demand) <= 2
 
 
+@pytest.mark.parametrize("is_enabled", [True, False])
+def test_an_entry_node_sends_load_away_unless_switched_off(is_enabled):
+    # Failure: the real capacity or shared load isn't connected, or the
+    # setting has no effect. The figures say 10 times the room of north.
+    base = control_tests.make_deployment("e1", ("c1",), False)
+    node = entry_node.EntryNode(
+        attrs.evolve(
+            base,
+            cfg=attrs.evolve(base.cfg, data_centre="north"),
+            load=settings.Load(spill=is_enabled),
+        ),
+        recorders.MemoryRecorder(),
+        1,
+    )
+    control = echo_harness.ControlVm("c1")
+    control.apply_configuration(2)
+    for number in range(1, 21):
+        home = "north" if number <= 2 else "south"
+        record = echo_harness.announcement(number, data_centre=home)
+        control.registry.on_announcement(record, 0.0)
+    north = {f"i-{number:08x}" for number in (1, 2)}
+    demand = messages.ServiceDemand("desk", (100000.0, 100.0))
+
+    def perform(out, now):
+        for action in out:
+            msg = action.msg
+            if isinstance(msg, messages.LoadReport):
+                summary = messages.LoadSummary(
+                    msg.sent_ms, 0.0, ("north", "south"), (demand,)
+                )
+                perform(node.handle("c1", summary, now), now)
+                continue
+            for reply in control.handle("e1", msg, now):
+                perform(node.handle("c1", reply.msg, now), now)
+
+    def send(caller, now, **change):
+        (sent,), out = node.handle_packet(
+            echo_harness.packet(caller, **change), now
+        )
+        perform(out, now)
+        return sent
+
+    flows, chosen = {}, []
+    for step in range(300):
+        now = 0.02 * step
+        perform(node.tick(now)[1], now)
+        if not node.is_ready():
+            continue
+        sent = send(step, now, is_opening=True)
+        flows[step] = sent.cookie
+        chosen.append(sent.id)
+        for age, change in (
+            (1, {"size": 40}),
+            (3, {"ack": 2000}),
+            (4, {"ack": 2000, "is_end": True}),
+        ):
+            if step - age in flows:
+                send(step - age, now, cookie=flows[step - age], **change)
+    left = sum(id_ not in north for id_ in chosen[-100:])
+    assert left > 70 if is_enabled else left < 5
+
+
 def test_switched_off_it_decides_nothing():
     # Failure: the setting has no effect.
     site = make_site(with_spill=False)
