--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -194,7 +194,7 @@
         for name, share in shares.items():
             left -= share
             if left < 0.0:
-                # The same holds for callers there: home is the alternative.
+                # Its own callers may fill it before the figures show it.
                 return _Candidates(
                     candidates.home,
                     candidates.elsewhere.get(name, []),
