--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -16,6 +16,7 @@
 from ebonytally.load import interfaces
 from ebonytally.load import priority_mix
 from ebonytally.load import rooms as room_lib
+from ebonytally.load import spill_turn
 from ebonytally.load import water_filling
 from ebonytally.load import way_cost
 from ebonytally import recorder as recorders
@@ -42,14 +43,15 @@
 # Round trips that a request loses on a longer way: the opening, and the
 # request with its answer.
 WAY_TRIPS = 2.0
-# An event says that load begins to leave, or no longer does.
-BEGIN_SHARE = 0.01
-END_SHARE = 0.005
+# Smaller shares are over, and so is a smaller part that follows shares.
+OVER_SHARE = 0.0005
+OVER_DECIDED = 0.01
 
 
 class Reason(enum.StrEnum):
     """Why a share of a service's flows leaves the data centre, or none.
 
+    :cvar BELOW_MEAN: home isn't used more than all data centres together
     :cvar NONE_ELSEWHERE: no other data centre has room left
     :cvar WAY: the way elsewhere costs more time than the queue at home
     :cvar NO_FIGURES: demand or room isn't known; the choice is by the load
@@ -59,6 +61,7 @@
     HOME_HAS_ROOM = "home_has_room"
     HOME_SHORT = "home_short"
     NONE_AT_HOME = "none_at_home"
+    BELOW_MEAN = "below_mean"
     NONE_ELSEWHERE = "none_elsewhere"
     WAY = "way"
     NO_FIGURES = "no_figures"
@@ -81,6 +84,11 @@
     utilisation: float = 0.0
     mean: float = 0.0
 
+    @property
+    def keeps_all(self) -> bool:
+        """Return whether flows stay at home because all others are full."""
+        return self.reason == Reason.NONE_ELSEWHERE and self.decided > 0.0
+
 
 @attrs.define
 class _State:
@@ -93,7 +101,7 @@
     decided: float = 0.0
     shares: dict[str, float] = attrs.field(factory=dict)
     by_priority: dict[int, dict[str, float]] = attrs.field(factory=dict)
-    leaves: bool = False
+    turn: spill_turn.Turn = attrs.field(factory=spill_turn.Turn)
 
     def step(self, gain: float, max_change: float) -> None:
         """Move the shares a part of the way to the decision.
@@ -105,7 +113,7 @@
         self.decided += gain * (target.decided - self.decided)
         changes = {
             name: target.shares.get(name, 0.0) - self.shares.get(name, 0.0)
-            for name in {*self.shares, *target.shares}
+            for name in sorted({*self.shares, *target.shares})
         }
         total = sum(map(abs, changes.values()))
         if gain * total > max_change:
@@ -117,16 +125,26 @@
         self.shares = {
             name: share
             for name, share in self.shares.items()
-            if share > END_SHARE / 10 or name in target.shares
+            if share > OVER_SHARE or name in target.shares
         }
 
+    def leaving_share(self, mix: Mapping[int, float]) -> float:
+        """Return the share of all flows that leaves, within the limits.
+
+        :param mix: share of the flows by priority
+        """
+        return sum(
+            mix.get(priority, 0.0) * sum(shares.values())
+            for priority, shares in self.by_priority.items()
+        )
+
     @property
     def is_over(self) -> bool:
         """Return whether the choice is as without figures again."""
         return (
             not self.decision.decided
-            and not self.leaves
-            and self.decided < BEGIN_SHARE
+            and not self.turn.leaves
+            and self.decided < OVER_DECIDED
         )
 
 
@@ -179,13 +197,15 @@
         return {
             name: share
             for name, share in shares.items()
-            if not self._is_unusable(name, now)
+            if share > 0.0 and not self._is_unusable(name, now)
         }
 
     def home_share(self, service: str, priority: int, now: float) -> float:
         """Return the share of new flows that stays at home.
 
-        What a cut link can't carry is part of it.
+        What a cut link can't carry is part of it. It is 0 if nothing leaves
+        although others may have room: silent upstreams or a burst can fill
+        home before the figures show it.
         """
         state = self._states.get(service)
         if state is None:
@@ -193,6 +213,8 @@
         planned = state.by_priority.get(priority, state.shares)
         decided = max(state.decided, sum(planned.values()))
         sent = sum(self.remote_shares(service, priority, now).values())
+        if not sent and not state.decision.keeps_all:
+            return 0.0
         return max(0.0, decided - sent)
 
     def decision(self, service: str) -> Decision | None:
@@ -212,8 +234,10 @@
         self._next_at = now + REFRESH_S * self._spread()
         self._rooms.update(now)
         services = {*self._rooms.services(), *self._states}
+        for service in self._latest_demand.keys() - services:
+            del self._latest_demand[service]
         self._decisions = {
-            service: self._decide(service, now) for service in services
+            service: self._decide(service, now) for service in sorted(services)
         }
         for service, decision in self._decisions.items():
             self._update(service, decision, step_s, now)
@@ -242,12 +266,12 @@
                 state.shares[name] = 0.0
         gain = 1.0 - math.exp(-step_s / change_s)
         state.step(gain, MAX_CHANGE_PER_S * step_s)
+        mix = self._priorities.shares(service, now)
         state.by_priority = water_filling.split_by_priority(
-            state.shares,
-            self._priorities.shares(service, now),
-            self._limits(service, decision, now),
+            state.shares, mix, self._limits(service, decision, now)
         )
-        self._log_change(service, state)
+        if state.turn.update(state.leaving_share(mix), now):
+            self._log_turn(service, state)
         if state.is_over:
             del self._states[service]
 
@@ -277,13 +301,29 @@
         if self._home not in room:
             decided = 1.0 if planned else 0.0
             return Decision(Reason.NONE_AT_HOME, decided, planned, used, mean)
-        return self._weigh(planned, rooms, used, mean, now)
+        above = used - water_filling.START_UTILISATION
+        decided = min(1.0, above / DECIDED_BAND)
+        if len(room) == 1:
+            return Decision(Reason.NONE_ELSEWHERE, 0.0, {}, used, mean)
+        if not any(
+            demand.get(name, 0.0)
+            < water_filling.RECEIVE_UTILISATION * room[name]
+            for name in room
+            if name != self._home
+        ):
+            return Decision(Reason.NONE_ELSEWHERE, decided, {}, used, mean)
+        if not planned:
+            return Decision(Reason.BELOW_MEAN, 0.0, {}, used, mean)
+        shares = self._weigh(planned, rooms[self._home], used, now)
+        reason = Reason.HOME_SHORT if any(shares.values()) else Reason.WAY
+        return Decision(reason, decided, shares, used, mean)
 
     def _demand(self, service: str, now: float) -> dict[str, float] | None:
         """Return the demand by data centre, None without figures.
 
         The demand of a data centre that is suddenly missing counts for a
         while as before: its figures are more likely lost than its callers.
+        Without home's, all are taken as missing meanwhile.
         """
         demand = self._shared_load.demand_per_s(service, now)
         if demand is None:
@@ -292,37 +332,27 @@
         for name, per_s in demand.items():
             latest[name] = (per_s, now)
         for name, (_, at) in list(latest.items()):
-            if now - at > FIGURE_MEMORY_S or (
-                name == self._home and name not in demand
-            ):
+            if now - at > FIGURE_MEMORY_S:
                 del latest[name]
+        if self._home in latest and self._home not in demand:
+            return None
         return {name: per_s for name, (per_s, _) in latest.items()}
 
     def _weigh(
         self,
         planned: Mapping[str, float],
-        rooms: Mapping[str, room_lib.Room],
+        home: room_lib.Room,
         used: float,
-        mean: float,
         now: float,
-    ) -> Decision:
-        """Return a plan without the shares for which the way is too long."""
-        home = rooms[self._home]
+    ) -> dict[str, float]:
+        """Return a plan less the shares for which the way is too long."""
         queue_s = water_filling.queue_s(
             used, home.slots / home.upstreams, home.service_time_s
         )
-        shares = {
+        return {
             name: share * self._gain(queue_s, name, now)
             for name, share in planned.items()
         }
-        reason = Reason.HOME_SHORT
-        if not planned:
-            reason = Reason.NONE_ELSEWHERE
-        elif not any(shares.values()):
-            reason = Reason.WAY
-        above = used - water_filling.START_UTILISATION
-        decided = min(1.0, above / DECIDED_BAND)
-        return Decision(reason, decided, shares, used, mean)
 
     def _gain(self, queue_s: float, data_centre: str, now: float) -> float:
         """Return the part of a share for which the way pays off, 0 to 1.
@@ -337,44 +367,49 @@
 
     def _limits(
         self, service: str, decision: Decision, now: float
-    ) -> dict[int, dict[str, float]]:
-        """Return the largest shares that the routes' times allow.
+    ) -> dict[int, water_filling.Limits]:
+        """Return by priority what the routes' times allow.
 
         An answer that would be late elsewhere is still better than none:
         what exceeds home's room may leave until its timeout.
         """
         rooms = self._rooms.by_data_centre(service, now) or {}
         excess = 1.0 - 1.0 / max(1.0, decision.utilisation)
-        limits: dict[int, dict[str, float]] = {}
-        for priority, bounds in self._priorities.bounds(service).items():
-            by_name = limits[priority] = {}
-            for name, room in rooms.items():
-                took_s = room.service_time_s + (
-                    WAY_TRIPS * self._ways.extra_s(name, now)
-                )
-                if took_s > bounds.timeout_s:
-                    by_name[name] = 0.0
-                elif took_s > bounds.target_latency_s:
-                    by_name[name] = excess
-        return limits
-
-    def _log_change(self, service: str, state: _State) -> None:
+        took_s = {
+            name: room.service_time_s
+            + WAY_TRIPS * self._ways.extra_s(name, now)
+            for name, room in rooms.items()
+        }
+        return {
+            priority: water_filling.Limits(
+                _above(took_s, bounds.timeout_s),
+                _above(took_s, bounds.target_latency_s),
+                excess,
+            )
+            for priority, bounds in self._priorities.bounds(service).items()
+        }
+
+    def _log_turn(self, service: str, state: _State) -> None:
         """Log that load begins to leave, or no longer does."""
-        bound = END_SHARE if state.leaves else BEGIN_SHARE
-        leaves = sum(state.shares.values()) >= bound
-        if leaves == state.leaves:
-            return
-        state.leaves = leaves
         decision = state.decision
         self._recorder.log_event(
             events.Event.SPILL_TURNED,
             service=service,
-            leaves=state.leaves,
+            leaves=state.turn.leaves,
             reason=decision.reason.value,
             shares={
                 name: round(share, 3)
                 for name, share in decision.shares.items()
             },
-            utilisation=round(decision.utilisation, 3),
-            mean=round(decision.mean, 3),
+            utilisation=_figure(decision.utilisation),
+            mean=_figure(decision.mean),
         )
+
+
+def _above(took_s: Mapping[str, float], limit_s: float) -> frozenset[str]:
+    return frozenset(name for name, s in took_s.items() if s > limit_s)
+
+
+def _figure(utilisation: float) -> float | None:
+    """Return a rounded utilisation, None without room: JSON has no inf."""
+    return round(utilisation, 3) if math.isfinite(utilisation) else None
