--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -355,8 +355,13 @@
         capacity = self._capacity
         if capacity is None:
             return None
+        has_home = any(
+            entry.record.data_centre == self._data_centre for entry in entries
+        )
         for entry in entries:
             id_ = entry.record.id
+            if has_home and self.is_elsewhere(entry.record):
+                continue
             if capacity.speed(id_, now) >= AVOIDED_SPEED:
                 continue
             if not _is_avoided(capacity.condition(id_, now)):
--- a/ebonytally/load/capacity.py
+++ b/ebonytally/load/capacity.py
@@ -174,10 +174,13 @@
             return
         is_small = self._sizes.is_small(service_address, answer_bytes, now)
         took_s = known.take_answered(is_small)
+        times = self._times(known)
         if not is_small:
+            if took_s is not None and times.is_quick(took_s, now):
+                # A whole answer: the reference is from slower times.
+                times.answers.add(times.without_way(took_s, now), now)
             self._count(upstream, known, 0.0, 0.0, now)
             return
-        times = self._times(known)
         is_quick = took_s is not None and times.is_quick(took_s, now)
         if is_quick:
             self._recorder.count("answers_rejected")
--- a/ebonytally/load/classes.py
+++ b/ebonytally/load/classes.py
@@ -12,6 +12,7 @@
 # Classes not seen for so long no longer count: a reserve for them would
 # only lie idle.
 FORGET_AFTER_S = 600.0
+FORGET_INTERVAL_S = 60.0
 # Configurations have a few priorities; more are compared with these.
 MAX_CLASSES = 16
 
@@ -35,13 +36,15 @@
         """Create an empty set of classes."""
         self._seen_at: dict[tuple[int, bool], float] = {}
         self._levels: dict[tuple[int, bool], Level] = {}
+        self._forgot_at = 0.0
 
     def add(self, opening: interfaces.Opening, now: float) -> None:
         """Remember the class of an opening."""
         class_ = _class_of(opening)
         is_new = class_ not in self._seen_at
         self._seen_at[class_] = now
-        if is_new:
+        if is_new or now - self._forgot_at >= FORGET_INTERVAL_S:
+            self._forgot_at = now
             self._forget(now)
             self._levels = {
                 known: self._level_of(known) for known in self._seen_at
--- a/ebonytally/load/composition.py
+++ b/ebonytally/load/composition.py
@@ -88,7 +88,7 @@
         capacity,
         shared,
         spill,
-        _gate(deployment, capacity, delay, meter, recorder),
+        _gate(deployment, capacity, spill, delay, meter, recorder),
         delay,
         (meter, capacity, ways, priorities, delay),
     )
@@ -97,6 +97,7 @@
 def _gate(
     deployment: deployments.Deployment,
     capacity: interfaces.Capacity,
+    utilisation: interfaces.Utilisation,
     delay: link_delay.LinkDelay,
     meter: demand.DemandMeter,
     recorder: recorders.Recorder,
@@ -112,7 +113,9 @@
     decisions = admission.LoadAdmission(
         known,
         link,
-        upstream_room.UpstreamRoom(capacity, cfg.reserved_share, known),
+        upstream_room.UpstreamRoom(
+            capacity, cfg.reserved_share, known, utilisation
+        ),
         fair_shares.FairShares(),
         meter,
     )
--- a/ebonytally/load/flow_needs.py
+++ b/ebonytally/load/flow_needs.py
@@ -22,6 +22,9 @@
 MAX_ROUTES = 1_024
 # Weight of a sample is never below this, so that estimates follow changes.
 MIN_SAMPLE_WEIGHT = 1 / 64
+# Fewer bytes are opening packets only: the flow never opened, and says
+# nothing about what one needs.
+MIN_OPENED_BYTES = 250
 
 
 @attrs.define
@@ -111,7 +114,8 @@
             if len(self._needs) >= MAX_ROUTES:
                 self._needs.clear()
             need = self._needs[flow.route] = Need()
-        need.learn(flow.early, flow.late)
+        if flow.early + flow.late >= MIN_OPENED_BYTES:
+            need.learn(flow.early, flow.late)
         return flow.level, flow.left
 
     def expire(self, now: float) -> list[tuple[classes.Level, float]]:
--- a/ebonytally/load/interfaces.py
+++ b/ebonytally/load/interfaces.py
@@ -202,6 +202,16 @@
         """
 
 
+class Utilisation(Protocol):
+    """Tells how much of the upstreams' room is demanded."""
+
+    def utilisation(self, service: str, now: float) -> float | None:
+        """Return the demand on a service by the room of its upstreams.
+
+        :return: over all data centres, None if demand or room is unknown
+        """
+
+
 class Congestion(Protocol):
     """Tells whether packets queue at this entry VM's link."""
 
--- a/ebonytally/load/link_room.py
+++ b/ebonytally/load/link_room.py
@@ -81,12 +81,16 @@
 # waited, takes up to as long again.
 MAX_GAP_S = 0.05
 MIN_CREDIT_S = 0.5
+# The socket's buffer holds what the link carries in a few seconds; after a
+# longer pause the rest was dropped.
+MAX_CREDIT_S = 3.0
 
 
 @attrs.define
 class _State:
     """Counted queues at a time.
 
+    :param at: None before the first use
     :param queues: for each level the bytes of this and lower levels,
         negative while packets that waited in the socket are read
     :param rate: bytes a second, over `RATE_WINDOW_S`
@@ -98,7 +102,7 @@
         link was in use but nothing could be counted
     """
 
-    at: float
+    at: float | None
     queues: list[float]
     late: list[float]
     rate: float = 0.0
@@ -145,7 +149,7 @@
         self.is_overloaded = False
         self._needs = flow_needs.FlowNeeds()
         nothing = [0.0 for _ in classes.Level]
-        self._state = _State(0.0, nothing, nothing)
+        self._state = _State(None, nothing, nothing)
         # Bytes counted since the state was last brought up to date.
         self._pending = 0.0
         self._slot_at = 0.0
@@ -250,11 +254,12 @@
     def _at(self, now: float) -> _State:
         """Return the state at a time, with the pending bytes."""
         old = self._state
-        elapsed = max(0.0, now - old.at)
-        if not elapsed and not self._pending:
+        last = now if old.at is None else old.at
+        elapsed = max(0.0, now - last)
+        if old.at is not None and not elapsed and not self._pending:
             return old
         state = _State(
-            max(now, old.at),
+            max(now, last),
             old.queues[:],
             old.late[:],
             old.rate * math.exp(-elapsed / RATE_WINDOW_S),
@@ -263,8 +268,9 @@
             old.credit_until,
         )
         if elapsed > MAX_GAP_S:
-            state.credit_s = max(elapsed, state.credit_s)
-            state.credit_until = now + max(elapsed, MIN_CREDIT_S)
+            pause_s = min(elapsed, MAX_CREDIT_S)
+            state.credit_s = max(pause_s, state.credit_s)
+            state.credit_until = now + max(pause_s, MIN_CREDIT_S)
         elif now >= state.credit_until:
             state.credit_s = 0.0
         for level, drain in enumerate(self._drains):
--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -223,7 +223,7 @@
 
     def tick(self, now: float) -> None:
         """Decide anew when it is due, and move the shares."""
-        if not self._is_enabled or self._shared_load is None:
+        if self._shared_load is None:
             return
         if now < self._next_at:
             return
@@ -239,9 +239,21 @@
         self._decisions = {
             service: self._decide(service, now) for service in sorted(services)
         }
+        if not self._is_enabled:
+            return
         for service, decision in self._decisions.items():
             self._update(service, decision, step_s, now)
 
+    def utilisation(self, service: str, now: float) -> float | None:
+        """Return the demand on a service by the room of its upstreams.
+
+        :return: over all data centres, None if demand or room is unknown
+        """
+        decision = self._decisions.get(service)
+        if decision is None or decision.reason == Reason.NO_FIGURES:
+            return None
+        return decision.mean
+
     def _spread(self) -> float:
         return 1.0 + REFRESH_SPREAD * self._rng.random()
 
--- a/ebonytally/load/upstream_room.py
+++ b/ebonytally/load/upstream_room.py
@@ -36,6 +36,9 @@
 # in which the rejections didn't go on.
 MAX_RISE_STEP_S = 0.2
 MAX_SERVICES = 1_024
+# Below this utilisation upstreams have room for all: those that reject are
+# broken, and refusing callers wouldn't change that.
+MIN_UTILISATION = 0.8
 
 
 @attrs.define
@@ -62,6 +65,7 @@
         capacity: interfaces.Capacity | None,
         reserved_share: float,
         classes_: classes.Classes,
+        demand: interfaces.Utilisation | None,
     ) -> None:
         """Create a room without refusals.
 
@@ -69,10 +73,13 @@
             flow is refused
         :param reserved_share: share of all flows that upstreams may go on
             rejecting before any but the lowest level is refused
+        :param demand: tells whether upstreams lack room; without it no
+            flow is refused
         """
         self._capacity = capacity
         self._reserved_share = reserved_share
         self._classes = classes_
+        self._demand = demand
         self._services: dict[str, _Service] = {}
 
     def pressure(self, opening: interfaces.Opening, now: float) -> float:
@@ -121,6 +128,8 @@
         """Return the share of a service's flows to refuse now."""
         elapsed = max(0.0, now - known.at)
         rejected = self._capacity.rejected_share(service, now)
+        if not self._is_short(service, now):
+            rejected = 0.0
         if rejected > MAX_REJECTED:
             elapsed = min(elapsed, MAX_RISE_STEP_S)
             lacking = (1 - known.refused) * (rejected - MAX_REJECTED)
@@ -131,6 +140,13 @@
             return refused if refused >= MIN_SHARE else 0.0
         return known.refused
 
+    def _is_short(self, service: str, now: float) -> bool:
+        """Return whether upstreams may lack room for the demand."""
+        if self._demand is None:
+            return False
+        utilisation = self._demand.utilisation(service, now)
+        return utilisation is not None and utilisation >= MIN_UTILISATION
+
     def _share_at(self, opening: interfaces.Opening, now: float) -> float:
         """Return the share of the flows of an opening's level to refuse.
 
