--- a/ebonytally/echo/forwarder.py
+++ b/ebonytally/echo/forwarder.py
@@ -32,6 +32,7 @@
 class Forwarder:
     """Forwards a packet, resets its flow or drops it.
 
+    :ivar cookies: cookies of the upstreams
     :ivar needs_update: a packet needed a newer configuration or registry than
         this VM has; cleared once an update has been requested
     """
@@ -57,14 +58,14 @@
         self._placing = placing
         self._recorder = recorder
         self._gate = gate or gates.Gate(None, None, recorder)
-        self._cookies = cookies.Cookies(registry, recorder)
+        self.cookies = cookies.Cookies(registry, recorder)
         self._tracker = tracking.FlowTracker(placing, observers, recorder)
         self._view_version = 0
         self._routes: dict[bytes, model.Route] = {}
         self._openings = openings.Openings(
             registry,
             placing,
-            self._cookies,
+            self.cookies,
             observers,
             recorder,
             congestion,
@@ -75,7 +76,7 @@
 
     def on_update(self) -> None:
         """Apply changes of the configuration and the registry."""
-        self._cookies.update()
+        self.cookies.update()
         if self._view_version != self._follower.view.version:
             self._view_version = self._follower.view.version
             self._routes = {
@@ -90,6 +91,13 @@
                 )
             )
 
+    def route_at(self, service_address: bytes) -> model.Route | None:
+        """Return the route of an address and port, None if there is none.
+
+        :param service_address: as in `packets.Packet.service_address`
+        """
+        return self._routes.get(service_address)
+
     def handle_packet(self, packet: packets.Packet, now: float) -> Actions:
         """Return what must be sent for a caller's packet."""
         out = self._handle_packet(packet, now)
@@ -102,7 +110,7 @@
             if route is None:
                 return self._refuse_without_route(packet, now)
             return self._open(packet, route, now)
-        entry = self._cookies.entry(packet.cookie)
+        entry = self.cookies.entry(packet.cookie)
         if entry is None or not self._view_version:
             return self._drop_unknown_cookie(packet)
         record = entry.record
@@ -133,7 +141,7 @@
             self._swept_at = now
             idle_s = self._follower.view.content.idle_timeout_s
             self._tracker.sweep(idle_s, now)
-            self._cookies.sweep()
+            self.cookies.sweep()
             self._unanswered.sweep(now)
             self._placing.sweep()
         out = list(self._openings.tick(now))
@@ -267,4 +275,9 @@
 
 def service_address_of(route: model.Route) -> bytes:
     """Return a route's address and port as in `Packet.service_address`."""
-    return socket.inet_aton(route.address) + _PORT.pack(route.port)
+    return address_bytes(route.address, route.port)
+
+
+def address_bytes(address: str, port: int) -> bytes:
+    """Return an IPv4 address and port as in `Packet.service_address`."""
+    return socket.inet_aton(address) + _PORT.pack(port)
--- a/ebonytally/echo/gate.py
+++ b/ebonytally/echo/gate.py
@@ -27,6 +27,11 @@
         self._traffic = traffic
         self._recorder = recorder
 
+    @property
+    def has_admission(self) -> bool:
+        """Return whether flows may be refused."""
+        return self._admission is not None
+
     def admits(
         self,
         packet: packets.Packet,
@@ -45,6 +50,17 @@
             self._traffic.on_admitted(packet.key, opening, now)
         return verdict.is_admitted
 
+    def preview(
+        self, opening: interfaces.Opening, now: float
+    ) -> interfaces.Verdict | None:
+        """Return the verdict on a flow without any effect.
+
+        :return: None if admission is switched off
+        """
+        if self._admission is None:
+            return None
+        return self._admission.preview(opening, now)
+
     def on_packet(
         self,
         packet: packets.Packet,
--- a/ebonytally/echo/openings.py
+++ b/ebonytally/echo/openings.py
@@ -124,7 +124,9 @@
 
         :param priority: priority class of the flow's route
         """
-        chosen = self._choose(service, priority, (), now)
+        chosen = choose(
+            self._placing, self._cookies, service, priority, (), now
+        )
         if chosen is None:
             return []
         if self._placing.is_elsewhere(chosen):
@@ -220,8 +222,13 @@
         is_backed_off = self._count_silence(opening, trigger, now)
         chosen = None
         if not opening.exhausted:
-            chosen = self._choose(
-                opening.service, opening.priority, opening.tried, now
+            chosen = choose(
+                self._placing,
+                self._cookies,
+                opening.service,
+                opening.priority,
+                opening.tried,
+                now,
             )
         self._recorder.log_event(
             events.Event.UPSTREAM_SILENT,
@@ -273,28 +280,30 @@
                 observer.on_silence(id_, now)
         return any(backed_off)
 
-    def _choose(
-        self,
-        service: str,
-        priority: int,
-        tried: tuple[str, ...],
-        now: float,
-    ) -> records.Record | None:
-        """Return an upstream, the next best if another one has its cookie."""
-        chosen = self._placing.choose(service, priority, tried, now)
-        if chosen is None:
-            return None
-        if not self._cookies.has_own_cookie(chosen):
-            tried = (*tried, chosen.id)
-            return self._placing.choose(service, priority, tried, now)
-        return chosen
-
     def _remove(self, key: bytes, opening: _Opening) -> None:
         del self._openings[key]
         for id_ in opening.tried:
             self._placing.load(id_).opening -= 1
 
 
+def choose(
+    placing: placings.Placing,
+    cookies: cookie_lib.Cookies,
+    service: str,
+    priority: int,
+    tried: tuple[str, ...],
+    now: float,
+) -> records.Record | None:
+    """Return an upstream, the next best if another one has its cookie."""
+    chosen = placing.choose(service, priority, tried, now)
+    if chosen is None:
+        return None
+    if not cookies.has_own_cookie(chosen):
+        tried = (*tried, chosen.id)
+        return placing.choose(service, priority, tried, now)
+    return chosen
+
+
 def _to_upstream(
     record: records.Record,
     packet: packets.Packet,
--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -1,5 +1,7 @@
 """Choice of the upstream for a new flow, by estimated load."""
 
+import copy
+import enum
 import math
 import random
 
@@ -42,6 +44,33 @@
 _FULL = interfaces.Condition.FULL
 
 
+class Exclusion(enum.StrEnum):
+    """Why an upstream gets no new flow now, or only if no other can.
+
+    :cvar UNKNOWN: its service or data centre is unknown
+    :cvar BACKED_OFF: it didn't answer opening packets
+    :cvar COLD: it is cold, and its next flow is not due yet
+    :cvar AVOIDED: it is slow, failing or full, and no probe is due; it is
+        chosen only while the others have much more load
+    """
+
+    DRAINING = "draining"
+    SILENT = "silent"
+    GONE = "gone"
+    DATA_CENTRE_OUT = "data_centre_out"
+    UNKNOWN = "unknown_service_or_data_centre"
+    BACKED_OFF = "backed_off"
+    COLD = "cold_rate_used"
+    AVOIDED = "avoided"
+
+
+_EXCLUSION_BY_STATE = {
+    records.State.SILENT: Exclusion.SILENT,
+    records.State.DRAINING: Exclusion.DRAINING,
+    records.State.GONE: Exclusion.GONE,
+}
+
+
 @attrs.define
 class _Candidates:
     """Upstreams of one service that may get new flows.
@@ -106,6 +135,40 @@
             load = self._loads[id_] = loads.UpstreamLoad()
         return load
 
+    def trial(self) -> "Placing":
+        """Return a copy whose choices have no effect on this one.
+
+        Its next choice is the one that this one would make next.
+        """
+        trial = copy.copy(self)
+        trial._rng = random.Random()
+        trial._rng.setstate(self._rng.getstate())
+        trial._loads = {
+            id_: copy.copy(load) for id_, load in self._loads.items()
+        }
+        return trial
+
+    def exclusion(
+        self, entry: registries.Entry, now: float
+    ) -> Exclusion | None:
+        """Return why an upstream gets no new flow now, None if it may.
+
+        Only for a `trial`: it uses up the flow that is due to a cold or
+        avoided upstream.
+        """
+        excluded = self._ineligible(entry.record, self._follower.view.out)
+        if excluded is not None:
+            return excluded
+        if not self._usable(_Candidates(home=[entry]), (), now):
+            return Exclusion.BACKED_OFF
+        if entry.cold_until > now:
+            due = self._cold_due(entry.record.service, [entry], now)
+            return Exclusion.COLD if due is None else None
+        if self._is_avoided(entry.record.id, now):
+            due = self._probe_due([entry], now)
+            return Exclusion.AVOIDED if due is None else None
+        return None
+
     def sweep(self) -> None:
         """Remove the unused loads of upstreams that are not registered."""
         for id_, load in list(self._loads.items()):
@@ -270,11 +333,7 @@
         by_service: dict[str, _Candidates] = {}
         for entry in self._registry.entries():
             record = entry.record
-            if record.state != records.State.READY:
-                continue
-            if record.data_centre in out:
-                continue
-            if not self._registry.is_usable(record):
+            if self._ineligible(record, out) is not None:
                 continue
             candidates = by_service.get(record.service)
             if candidates is None:
@@ -291,6 +350,21 @@
                 candidates.elsewhere.setdefault(name, []).append(entry)
         return by_service
 
+    def _ineligible(
+        self, record: records.Record, out: frozenset[str]
+    ) -> Exclusion | None:
+        """Return why an upstream isn't a candidate, None if it is one.
+
+        :param out: data centres taken out of service
+        """
+        if record.state != records.State.READY:
+            return _EXCLUSION_BY_STATE[record.state]
+        if record.data_centre in out:
+            return Exclusion.DATA_CENTRE_OUT
+        if not self._registry.is_usable(record):
+            return Exclusion.UNKNOWN
+        return None
+
     def _least_loaded(
         self, entries: list[registries.Entry], now: float
     ) -> registries.Entry | None:
@@ -338,14 +412,11 @@
         self, entries: list[registries.Entry], now: float
     ) -> registries.Entry | None:
         """Return an avoided upstream that may be tried now, or None."""
-        capacity = self._capacity
-        if capacity is None:
+        if self._capacity is None:
             return None
         for entry in entries:
             id_ = entry.record.id
-            if capacity.speed(id_, now) >= AVOIDED_SPEED:
-                continue
-            if not _is_avoided(capacity.condition(id_, now)):
+            if not self._is_avoided(id_, now):
                 continue
             load = self.load(id_)
             gap_s = max(
@@ -360,6 +431,14 @@
                 return entry
         return None
 
+    def _is_avoided(self, id_: str, now: float) -> bool:
+        capacity = self._capacity
+        return (
+            capacity is not None
+            and capacity.speed(id_, now) < AVOIDED_SPEED
+            and _is_avoided(capacity.condition(id_, now))
+        )
+
     def _cold_due(
         self,
         service: str,
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -2,6 +2,7 @@
 
 from ebonytally import actions
 from ebonytally import deployment as deployments
+from ebonytally.echo import explain
 from ebonytally.echo import forwarder
 from ebonytally.echo import packets
 from ebonytally.echo import placing
@@ -58,6 +59,14 @@
             self.decisions.gate,
             self.decisions.delay,
         )
+        self.explainer = explain.Explainer(
+            self._registry,
+            self.follower,
+            placement,
+            self.forwarder,
+            self.decisions,
+            deployment.cfg.data_centre,
+        )
         self._stopping = False
 
     def is_ready(self) -> bool:
--- a/ebonytally/load/capacity.py
+++ b/ebonytally/load/capacity.py
@@ -84,9 +84,8 @@
         times = self._services.get(service)
         if times is None:
             return 0.0
-        times.lately_rejected.age(now)
-        weight = max(1.0, times.lately_rejected.weight)
-        return times.lately_rejected.total / weight
+        weight, total = times.lately_rejected.aged(now)
+        return total / max(1.0, weight)
 
     def suspicions(self, now: float) -> tuple[interfaces.Suspicion, ...]:
         """Return the upstreams that this VM finds slow or failing.
--- a/ebonytally/load/decay.py
+++ b/ebonytally/load/decay.py
@@ -35,6 +35,13 @@
                 self.total *= factor
             self.at = now
 
+    def aged(self, now: float) -> tuple[float, float]:
+        """Return the weight and the total at `now`, without any effect."""
+        factor = 1.0
+        if now > self.at:
+            factor = math.exp2((self.at - now) / self.half_life_s)
+        return self.weight * factor, self.total * factor
+
     def mean(self) -> float:
         """Return the weighted mean, 0.0 without samples."""
         return self.total / self.weight if self.weight else 0.0
--- a/ebonytally/load/shared_load.py
+++ b/ebonytally/load/shared_load.py
@@ -83,6 +83,12 @@
             return None
         return {name: rate / 100 for name, rate in rates.items()}
 
+    def age_s(self, now: float) -> float | None:
+        """Return the age of the figures, None if they aren't used."""
+        if not self._is_fresh(now):
+            return None
+        return max(0.0, now - self._figures_at)
+
     def suspicions(self, now: float) -> Mapping[int, interfaces.Suspicion]:
         """Return the upstreams that entry VMs suspect, by cookie."""
         if not self._is_fresh(now):
