--- a/ebonytally/cli/cli.py
+++ b/ebonytally/cli/cli.py
@@ -138,6 +138,8 @@
             return _check(path, options)
         case calls.Run(settings=path):
             return _run(path)
+        case calls.Explain(caller=caller, route=route):
+            return _explain(caller, route, options)
         case calls.Repair() | calls.Recover():
             return _repair_or_recover(call, options)
     return _call_api(call, options)
@@ -153,6 +155,12 @@
     return EXIT_DONE
 
 
+def _explain(caller: str, route: str, options: _Options) -> int:
+    from ebonytally.cli import cli_explain
+
+    return cli_explain.run(options.at, caller, route, options.json)
+
+
 def _check(path: str, options: _Options) -> int:
     from ebonytally import settings
 
--- a/ebonytally/cli/cli_calls.py
+++ b/ebonytally/cli/cli_calls.py
@@ -91,7 +91,29 @@
     path: str
 
 
-Call = Run | Check | Repair | Recover | Version | StateIntent | ClosePlan | Get
+@attrs.frozen
+class Explain:
+    """Ask an entry VM where a new flow would go.
+
+    :param caller: address and port of the caller
+    :param route: address and port that it connects to
+    """
+
+    caller: str
+    route: str
+
+
+Call = (
+    Run
+    | Check
+    | Repair
+    | Recover
+    | Version
+    | StateIntent
+    | ClosePlan
+    | Get
+    | Explain
+)
 
 
 class _Services:
@@ -277,6 +299,11 @@
         """Show the status of the system."""
         return Get("/v1/status")
 
+    @decorators.SetParseFn(str)
+    def explain(self, caller, route):
+        """Show where a new flow would go now, and why."""
+        return Explain(caller, route)
+
     def version(self):
         """Show the version."""
         return Version()
--- a/ebonytally/cli/cli_help.py
+++ b/ebonytally/cli/cli_help.py
@@ -26,6 +26,7 @@
   datacentre back NAME       plan to bring it back
   service create|change|remove|list
   vm add|replace|retire      entry and control VMs
+  explain CALLER ROUTE       where a new flow would go now, and why
   plan list|show|confirm|discard
 Commands that run on a VM:
   run SETTINGS               run the daemon until SIGTERM
@@ -96,6 +97,19 @@
   --id ID                your own id; the same id gets the same answer
 """
     + _OPERATORS,
+    "explain": """
+ebonytally explain --at HOST[:PORT] CALLER ROUTE [--json]
+
+Asks one entry VM of the entry role where it would send a new flow now, and
+why: candidates, what leaves others out, admission, the share that leaves its
+data centre. Nothing is sent to an upstream, and nothing changes. Another
+VM may decide otherwise: ask one in the data centre that the caller uses.
+  CALLER, ROUTE          IPv4 address and port, as in 100.65.0.4:1034
+  --at HOST[:PORT]       the VM's metrics port (9464), which it opens 4 s
+                         after its start; no token is needed
+  --json                 answer in JSON
+Exit status: 0 chosen, 1 refused, 2 bad usage or no answer.
+""",
     "run": """
 ebonytally run SETTINGS
 
--- a/ebonytally/control_role.py
+++ b/ebonytally/control_role.py
@@ -39,6 +39,7 @@
 
     tick_s = roles.CONTROL_TICK_INTERVAL_S
     stop_s = roles.CONTROL_STOP_DELAY_S
+    monitoring = live_recorder.Monitoring()
 
     def __init__(
         self,
--- a/ebonytally/echo/explain.py
+++ b/ebonytally/echo/explain.py
@@ -28,6 +28,7 @@
 class Candidate:
     """An upstream of one of the route's services.
 
+    :param address: address and port
     :param speed: learned speed relative to its service's
     :param busy: requests of this entry VM whose answer has not begun
     :param opening: flows of this entry VM that have not opened yet
@@ -38,6 +39,7 @@
 
     id: str
     service: str
+    address: str
     data_centre: str
     state: str
     condition: interfaces.Condition
@@ -127,6 +129,10 @@
         self._decisions = decisions
         self._data_centre = data_centre
 
+    def has_view(self) -> bool:
+        """Return whether the view is complete enough to serve callers."""
+        return self._follower.is_complete()
+
     def explain(
         self,
         caller: tuple[str, int],
@@ -240,6 +246,7 @@
         return Candidate(
             id=record.id,
             service=record.service,
+            address=f"{record.address}:{record.port}",
             data_centre=record.data_centre,
             state=record.state.name.lower(),
             condition=capacity.condition(record.id, now),
--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -8,6 +8,7 @@
 from ebonytally.echo import placing
 from ebonytally.feed import follower
 from ebonytally.load import composition
+from ebonytally.load import gauges
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -67,6 +68,7 @@
             self.decisions,
             deployment.cfg.data_centre,
         )
+        self.gauges = gauges.Gauges(self.decisions, self._registry)
         self._stopping = False
 
     def is_ready(self) -> bool:
--- a/ebonytally/entry_role.py
+++ b/ebonytally/entry_role.py
@@ -2,16 +2,19 @@
 
 from collections.abc import Callable
 import contextlib
+import http
 from typing import Protocol
 
 from ebonytally import deferred
 from ebonytally import deployment as deployments
+from ebonytally.echo import explain_query
 from ebonytally.echo import forwarder
 from ebonytally.echo import packets
 from ebonytally import entry_node
 from ebonytally import events
 from ebonytally import live_recorder
 from ebonytally import peer_datagrams
+from ebonytally import recorder as recorders
 from ebonytally import roles
 from ebonytally import system_clock
 
@@ -69,6 +72,9 @@
         self._clock = clock
         self._last_logged_ready = False
         self._node = entry_node.EntryNode(deployment, recorder, start)
+        self.monitoring = live_recorder.Monitoring(
+            {explain_query.PATH: self._explain}, self._gauges()
+        )
         self._peers = peer_datagrams.DatagramTransport(
             deployment.cfg,
             stack,
@@ -113,6 +119,45 @@
         """Report not ready, so that the fabric stops sending packets."""
         self._node.stop()
 
+    def _gauges(self) -> tuple[live_recorder.Gauge, ...]:
+        gauges = self._node.gauges
+        now = self._clock.now
+        return (
+            live_recorder.Gauge(
+                "link_pressure",
+                "load of the link by level of flows, 1 without room",
+                ("level",),
+                lambda: gauges.link_pressure(now()),
+            ),
+            live_recorder.Gauge(
+                "upstreams",
+                "upstreams by what this VM has learned about them",
+                ("condition",),
+                lambda: gauges.upstreams(now()),
+            ),
+            live_recorder.Gauge(
+                "demand_per_second",
+                "requests a second of callers, as this VM was told",
+                ("service", "data_centre"),
+                lambda: gauges.demand_per_s(now()),
+            ),
+            live_recorder.Gauge(
+                "leaving_share",
+                "share of new flows that leaves, by where it goes",
+                ("service", "data_centre"),
+                lambda: gauges.leaving_share(now()),
+            ),
+        )
+
+    def _explain(self, query: str) -> explain_query.Answer:
+        try:
+            return explain_query.answer(
+                self._node.explainer, query, self._clock.now()
+            )
+        except Exception:
+            recorders.log_failure(self._recorder, "explain", "")
+            return http.HTTPStatus.INTERNAL_SERVER_ERROR, b""
+
     def _handle_packet(self, packet: packets.Packet) -> forwarder.Actions:
         output, messages = self._node.handle_packet(packet, self._clock.now())
         if messages:
--- a/ebonytally/live_recorder.py
+++ b/ebonytally/live_recorder.py
@@ -1,9 +1,14 @@
 """Recorder of a running daemon: log lines and metrics."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import contextlib
+import http
 import time
 from typing import TextIO
 
+import attrs
+
 from ebonytally import deferred
 from ebonytally import events
 from ebonytally import log
@@ -28,6 +33,34 @@
 )
 
 
+@attrs.frozen
+class Gauge:
+    """A gauge of a role.
+
+    :param name: without the prefix of all metrics
+    :param read: returns the values by labels, called at each scrape
+    """
+
+    name: str
+    description: str
+    labels: tuple[str, ...]
+    read: Callable[[], Mapping[tuple[str, ...], float]]
+
+
+@attrs.frozen
+class Monitoring:
+    """What a role adds to the metrics port.
+
+    :param pages: by path; each takes the query string of the URL and
+        returns the HTTP status and JSON
+    """
+
+    pages: Mapping[str, Callable[[str], tuple[http.HTTPStatus, bytes]]] = (
+        attrs.field(factory=dict)
+    )
+    gauges: tuple[Gauge, ...] = ()
+
+
 class EventRateLimit:
     """Limits the rate of log lines, per event.
 
@@ -66,7 +99,10 @@
 
 
 class LiveRecorder:
-    """A `recorder.Recorder` that writes the log and serves the metrics."""
+    """A `recorder.Recorder` that writes the log and serves the metrics.
+
+    :ivar monitoring: to be set before the metrics port is opened
+    """
 
     def __init__(
         self,
@@ -87,6 +123,7 @@
         self._rate_limit = EventRateLimit()
         self._cfg = cfg
         self.tally = tally.Tally()
+        self.monitoring = Monitoring()
         if not metrics_after_s:
             self.serve(stack)
             return
@@ -113,8 +150,14 @@
             "log lines dropped because their reader didn't keep up",
             lambda: self._log.dropped,
         )
+        for gauge in self.monitoring.gauges:
+            exported.labelled_gauge(
+                gauge.name, gauge.description, gauge.labels, gauge.read
+            )
         address = (self._cfg.address, self._cfg.ports.metrics)
-        self.server = metrics_http.MetricsServer(address, exported)
+        self.server = metrics_http.MetricsServer(
+            address, exported, self.monitoring.pages
+        )
         self.server.start()
         stack.callback(self.server.stop)
 
--- a/ebonytally/load/composition.py
+++ b/ebonytally/load/composition.py
@@ -29,6 +29,7 @@
 class Decisions:
     """What decides on new flows under load.
 
+    :param link: None if admission is switched off
     :param observers: must hear what packets show about upstreams
     """
 
@@ -38,6 +39,7 @@
     gate: gates.Gate
     delay: link_delay.LinkDelay
     observers: tuple[interfaces.FlowObserver, ...]
+    link: link_room.LinkRoom | None = None
 
     def tick(self, now: float) -> list[actions.Action]:
         """Run the timers; return messages to control VMs."""
@@ -84,35 +86,50 @@
         deployment.load.spill,
     )
     delay = link_delay.LinkDelay()
+    known = classes.Classes()
+    link = _link(deployment, known, delay)
     return Decisions(
         capacity,
         shared,
         spill,
-        _gate(deployment, capacity, delay, meter, recorder),
+        _gate(deployment, capacity, link, known, meter, recorder),
         delay,
         (meter, capacity, ways, priorities, delay),
+        link,
+    )
+
+
+def _link(
+    deployment: deployments.Deployment,
+    known: classes.Classes,
+    delay: link_delay.LinkDelay,
+) -> link_room.LinkRoom | None:
+    """Return the room of the link, None without admission."""
+    cfg = deployment.load
+    if not cfg.admission:
+        return None
+    return link_room.LinkRoom(
+        deployment.link_bytes_s, cfg.reserved_share, known, delay
     )
 
 
 def _gate(
     deployment: deployments.Deployment,
     capacity: interfaces.Capacity,
-    delay: link_delay.LinkDelay,
+    link: link_room.LinkRoom | None,
+    known: classes.Classes,
     meter: demand.DemandMeter,
     recorder: recorders.Recorder,
 ) -> gates.Gate:
-    """Return the gate for new flows, open without admission."""
-    cfg = deployment.load
-    if not cfg.admission:
+    """Return the gate for new flows, open without a link's room."""
+    if link is None:
         return gates.Gate(None, None, recorder)
-    known = classes.Classes()
-    link = link_room.LinkRoom(
-        deployment.link_bytes_s, cfg.reserved_share, known, delay
-    )
     decisions = admission.LoadAdmission(
         known,
         link,
-        upstream_room.UpstreamRoom(capacity, cfg.reserved_share, known),
+        upstream_room.UpstreamRoom(
+            capacity, deployment.load.reserved_share, known
+        ),
         fair_shares.FairShares(),
         meter,
     )
--- a/ebonytally/load/link_room.py
+++ b/ebonytally/load/link_room.py
@@ -159,10 +159,13 @@
 
     def pressure(self, opening: interfaces.Opening, now: float) -> float:
         """Return how full the link is for a flow, 1.0 if it has no room."""
+        return self.pressure_of(self._classes.level(opening), now)
+
+    def pressure_of(self, level: classes.Level, now: float) -> float:
+        """Return how full the link is for the flows of a level."""
         if not self._bytes_s:
             return 0.0
         state = self._at(now)
-        level = self._classes.level(opening)
         limits = MAX_QUEUE_S
         if self.is_overloaded:
             limits = MAX_OVERLOADED_QUEUE_S
--- a/ebonytally/load/shared_load.py
+++ b/ebonytally/load/shared_load.py
@@ -83,6 +83,10 @@
             return None
         return {name: rate / 100 for name, rate in rates.items()}
 
+    def services(self) -> list[str]:
+        """Return the services of the latest figures, however old."""
+        return list(self._totals.demand)
+
     def age_s(self, now: float) -> float | None:
         """Return the age of the figures, None if they aren't used."""
         if not self._is_fresh(now):
--- a/ebonytally/load/spill.py
+++ b/ebonytally/load/spill.py
@@ -195,6 +195,17 @@
         sent = sum(self.remote_shares(service, priority, now).values())
         return max(0.0, decided - sent)
 
+    def shares(self) -> dict[str, Mapping[str, float]]:
+        """Return the present shares over all priorities.
+
+        :return: by service and other data centre, without services of
+            which nothing leaves by shares
+        """
+        return {
+            service: dict(state.shares)
+            for service, state in self._states.items()
+        }
+
     def decision(self, service: str) -> Decision | None:
         """Return the latest decision for a service, None before the first."""
         return self._decisions.get(service)
--- a/ebonytally/metrics.py
+++ b/ebonytally/metrics.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from opentelemetry.exporter import prometheus
 import opentelemetry.metrics as api
@@ -90,6 +91,30 @@
             description=description,
         )
 
+    def labelled_gauge(
+        self,
+        name: str,
+        description: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], float]],
+    ) -> None:
+        """Add a gauge with a series for each value of its labels.
+
+        :param read: returns the values by labels, called at each scrape
+        """
+
+        def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+            return [
+                api.Observation(value, dict(zip(labels, key, strict=True)))
+                for key, value in read().items()
+            ]
+
+        self._meter.create_observable_gauge(
+            f"{_METER}_{name}",
+            [observe],
+            description=description,
+        )
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         while self._tally.durations:
--- a/ebonytally/metrics_http.py
+++ b/ebonytally/metrics_http.py
@@ -1,5 +1,9 @@
 """HTTP server of the metrics port; it needs no authentication."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
+import http
+
 from gevent import pool
 from gevent import pywsgi
 
@@ -10,6 +14,10 @@
 CONNECTION_TIMEOUT_S = 5.0
 
 
+# Takes the query string of the URL, returns the HTTP status and JSON.
+Page = Callable[[str], tuple[http.HTTPStatus, bytes]]
+
+
 class _MetricsHandler(http_bounds.BoundedHandler):
     """Closes a connection after `CONNECTION_TIMEOUT_S`."""
 
@@ -17,15 +25,23 @@
 
 
 class MetricsServer:
-    """Answers ``GET /metrics`` in the Prometheus text format."""
+    """Answers ``GET /metrics`` in the Prometheus text format.
+
+    Other pages answer with JSON.
+    """
 
     def __init__(
         self,
         address: tuple[str, int],
         source: metrics.Metrics,
+        pages: Mapping[str, Page] | None = None,
     ) -> None:
-        """Set up the server; `start` opens the port."""
+        """Set up the server; `start` opens the port.
+
+        :param pages: further pages by path
+        """
         self._source = source
+        self._pages = pages or {}
         self._server = pywsgi.WSGIServer(
             address,
             self._serve,
@@ -52,15 +68,23 @@
         return (self._server.server_host, self._server.server_port)
 
     def _serve(self, environ: dict, start_response) -> list[bytes]:
-        is_metrics = environ["PATH_INFO"] == "/metrics"
-        if environ["REQUEST_METHOD"] != "GET" or not is_metrics:
-            start_response("404 Not Found", [("Connection", "close")])
-            return [b""]
-        data = self._source.text()
+        status, kind, data = self._answer(environ)
         headers = [
-            ("Content-Type", metrics.CONTENT_TYPE),
+            ("Content-Type", kind),
             ("Content-Length", str(len(data))),
             ("Connection", "close"),
         ]
-        start_response("200 OK", headers)
+        start_response(f"{status.value} {status.phrase}", headers)
         return [data]
+
+    def _answer(self, environ: dict) -> tuple[http.HTTPStatus, str, bytes]:
+        """Return the HTTP status, the content's type and the content."""
+        path = environ["PATH_INFO"]
+        page = self._pages.get(path)
+        if environ["REQUEST_METHOD"] == "GET" and path == "/metrics":
+            text = self._source.text()
+            return http.HTTPStatus.OK, metrics.CONTENT_TYPE, text
+        if environ["REQUEST_METHOD"] == "GET" and page is not None:
+            status, data = page(environ.get("QUERY_STRING", ""))
+            return status, "application/json", data
+        return http.HTTPStatus.NOT_FOUND, "text/plain", b""
--- a/ebonytally/roles.py
+++ b/ebonytally/roles.py
@@ -40,11 +40,13 @@
     """Role of a VM, as `Process` runs it.
 
     :ivar tick_s: seconds between two calls of `tick`
+    :ivar monitoring: what it adds to the metrics port
     :ivar stop_s: seconds that the process continues after `stop`
     """
 
     tick_s: float
     stop_s: float
+    monitoring: live_recorder.Monitoring
 
     def tick(self, now: float) -> None:
         """Run the timers."""
@@ -100,6 +102,7 @@
         self._role = make_role(
             deployment, stack, self._recorder, self._clock, start
         )
+        self._recorder.monitoring = self._role.monitoring
         self._recorder.log_event(
             events.Event.STARTED,
             incarnation=start,
