--- a/ebonytally/echo/explain.py
+++ b/ebonytally/echo/explain.py
@@ -24,10 +24,12 @@
 NO_WEIGHT = "no_weight"
 
 
-@attrs.frozen
+@attrs.define
 class Candidate:
     """An upstream of one of the route's services.
 
+    Not frozen: there may be thousands, and a frozen class takes longer.
+
     :param address: address and port
     :param speed: learned speed relative to its service's
     :param busy: requests of this entry VM whose answer has not begun
--- a/ebonytally/echo/explain_query.py
+++ b/ebonytally/echo/explain_query.py
@@ -2,7 +2,6 @@
 
 import http
 import ipaddress
-import json
 import urllib.parse
 
 import attrs
@@ -17,7 +16,9 @@
 # Digits of a port; longer texts aren't converted.
 _MAX_DIGITS = 5
 
-Answer = tuple[http.HTTPStatus, bytes]
+Answer = tuple[http.HTTPStatus, dict]
+# Faster than `attrs.asdict`, which looks into each value.
+_CANDIDATE = tuple(field.name for field in attrs.fields(explain.Candidate))
 
 
 class QueryError(Exception):
@@ -25,7 +26,7 @@
 
 
 def answer(explainer: explain.Explainer, query: str, now: float) -> Answer:
-    """Return the HTTP status and a JSON object, without any effect.
+    """Return the HTTP status and the fields of a JSON object.
 
     The object has ``ok``, whether an upstream is chosen. An error has
     ``reason`` and ``text``.
@@ -51,7 +52,7 @@
             f"configuration {told.version} has no route at "
             f"{route[0]}:{route[1]}",
         )
-    return http.HTTPStatus.OK, _encode(_to_json(told))
+    return http.HTTPStatus.OK, _to_json(told)
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -99,7 +100,11 @@
 
 
 def _to_json(told: explain.Explanation) -> dict:
-    fields = attrs.asdict(told)
+    fields = attrs.asdict(attrs.evolve(told, candidates=()))
+    fields["candidates"] = [
+        {name: getattr(candidate, name) for name in _CANDIDATE}
+        for candidate in told.candidates
+    ]
     fields["admission"] = {
         "is_on": told.has_admission,
         "is_asked": told.admission is not None,
@@ -117,8 +122,4 @@
 
 
 def _error(status: http.HTTPStatus, reason: str, text: str) -> Answer:
-    return status, _encode({"ok": False, "reason": reason, "text": text})
-
-
-def _encode(fields: dict) -> bytes:
-    return json.dumps(fields).encode() + b"\n"
+    return status, {"ok": False, "reason": reason, "text": text}
--- a/ebonytally/echo/placing.py
+++ b/ebonytally/echo/placing.py
@@ -94,6 +94,20 @@
         return _sample(self.home, rng) + _sample(self.remote, rng)
 
 
+class _CopiedLoads(dict[str, loads.UpstreamLoad]):
+    """Copies of loads, each made when it is first read."""
+
+    def __init__(self, loads_: dict[str, loads.UpstreamLoad]) -> None:
+        super().__init__()
+        self._originals = loads_
+
+    def get(self, id_, default=None):
+        load = super().get(id_)
+        if load is None and id_ in self._originals:
+            load = self[id_] = self._originals[id_].copy()
+        return default if load is None else load
+
+
 class Placing:
     """Chooses the upstream with the least load seen by this entry VM."""
 
@@ -143,9 +157,7 @@
         trial = copy.copy(self)
         trial._rng = random.Random()
         trial._rng.setstate(self._rng.getstate())
-        trial._loads = {
-            id_: copy.copy(load) for id_, load in self._loads.items()
-        }
+        trial._loads = _CopiedLoads(self._loads)
         return trial
 
     def exclusion(
@@ -159,7 +171,7 @@
         excluded = self._ineligible(entry.record, self._follower.view.out)
         if excluded is not None:
             return excluded
-        if not self._usable(_Candidates(home=[entry]), (), now):
+        if self.load(entry.record.id).is_backed_off(now):
             return Exclusion.BACKED_OFF
         if entry.cold_until > now:
             due = self._cold_due(entry.record.service, [entry], now)
@@ -299,7 +311,7 @@
                 entry
                 for entry in entries
                 if entry.record.id not in tried
-                and self.load(entry.record.id).backed_off_until <= now
+                and not self.load(entry.record.id).is_backed_off(now)
             ]
             elsewhere = [
                 entry
--- a/ebonytally/echo/upstream_load.py
+++ b/ebonytally/echo/upstream_load.py
@@ -44,6 +44,23 @@
         """Return whether no flow or request is counted here."""
         return not (self.busy or self.opening or self.flows)
 
+    def is_backed_off(self, now: float) -> bool:
+        """Return whether other upstreams are preferred."""
+        return self.backed_off_until > now
+
+    def copy(self) -> "UpstreamLoad":
+        """Return a copy; much faster than `copy.copy`."""
+        return UpstreamLoad(
+            self.busy,
+            self.opening,
+            self.flows,
+            self.opened_at,
+            self.backed_off_until,
+            self.silences,
+            self.cold_next_at,
+            self.probe_next_at,
+        )
+
     def on_opened(self, now: float) -> None:
         """End the back-off, as a flow has opened."""
         self.opened_at = now
--- a/ebonytally/entry_role.py
+++ b/ebonytally/entry_role.py
@@ -156,7 +156,11 @@
             )
         except Exception:
             recorders.log_failure(self._recorder, "explain", "")
-            return http.HTTPStatus.INTERNAL_SERVER_ERROR, b""
+            return http.HTTPStatus.INTERNAL_SERVER_ERROR, {
+                "ok": False,
+                "reason": "failed",
+                "text": "the explanation failed; see task_failed in the log",
+            }
 
     def _handle_packet(self, packet: packets.Packet) -> forwarder.Actions:
         output, messages = self._node.handle_packet(packet, self._clock.now())
--- a/ebonytally/live_recorder.py
+++ b/ebonytally/live_recorder.py
@@ -52,10 +52,10 @@
     """What a role adds to the metrics port.
 
     :param pages: by path; each takes the query string of the URL and
-        returns the HTTP status and JSON
+        returns the HTTP status and the fields of a JSON object
     """
 
-    pages: Mapping[str, Callable[[str], tuple[http.HTTPStatus, bytes]]] = (
+    pages: Mapping[str, Callable[[str], tuple[http.HTTPStatus, dict]]] = (
         attrs.field(factory=dict)
     )
     gauges: tuple[Gauge, ...] = ()
--- a/ebonytally/metrics_http.py
+++ b/ebonytally/metrics_http.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import http
+import json
 
+import gevent
 from gevent import pool
 from gevent import pywsgi
 
@@ -14,8 +16,9 @@
 CONNECTION_TIMEOUT_S = 5.0
 
 
-# Takes the query string of the URL, returns the HTTP status and JSON.
-Page = Callable[[str], tuple[http.HTTPStatus, bytes]]
+# Takes the query string of the URL, returns the HTTP status and the fields of
+# a JSON object.
+Page = Callable[[str], tuple[http.HTTPStatus, dict]]
 
 
 class _MetricsHandler(http_bounds.BoundedHandler):
@@ -85,6 +88,10 @@
             text = self._source.text()
             return http.HTTPStatus.OK, metrics.CONTENT_TYPE, text
         if environ["REQUEST_METHOD"] == "GET" and page is not None:
-            status, data = page(environ.get("QUERY_STRING", ""))
+            status, fields = page(environ.get("QUERY_STRING", ""))
+            # Both steps may take tens of milliseconds; packets that wait
+            # are forwarded in between.
+            gevent.sleep(0)
+            data = json.dumps(fields).encode() + b"\n"
             return status, "application/json", data
         return http.HTTPStatus.NOT_FOUND, "text/plain", b""
