--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -100,7 +100,9 @@
     assert cli.run(text.split()) == 2
 
 
-@pytest.mark.parametrize("topic", ["", "datacentre", "plan confirm", "vm"])
+@pytest.mark.parametrize(
+    "topic", ["", "datacentre", "plan confirm", "vm", "explain"]
+)
 def test_help_fits_one_page(topic, capsys):
     assert cli.run([*topic.split(), "--help"]) == 0
     page = capsys.readouterr().out
