--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,11 +1,13 @@
 """Entry and control roles as real processes on loopback."""
 
 import contextlib
+import json
 import signal
 import time
 
 import pytest
 
+from ebonytally.cli import cli
 from soak import callers
 from soak import judge as judges
 from soak import links
@@ -98,6 +100,22 @@
     assert {vm.process.returncode for vm in world.vms} == {0}
 
 
+def test_a_running_entry_vm_explains_by_command(world, capsys):
+    # Failure: the process opens its metrics port without the role's pages.
+    for vm in world.vms:
+        world.start(vm, first=True)
+    assert operator.Operator(world, 1).change_configuration()
+    words = ["explain", "--at", world.entry.address, "--json"]
+
+    def reason(route):
+        capsys.readouterr()
+        assert cli.run([*words, "100.65.0.4:1034", route]) in (1, 2)
+        return json.loads(capsys.readouterr().out).get("reason")
+
+    wait_until(lambda: reason("192.0.2.1:9") == "no_route", START_TIMEOUT_S)
+    assert reason("192.0.2.1") == "bad_query"
+
+
 def test_invalid_settings_end_the_start_with_one_line_of_error(world):
     vm = world.control[0]
     vm.configure([], True)
