--- a/ebonytally/entry_node.py
+++ b/ebonytally/entry_node.py
@@ -2,11 +2,13 @@
 
 from ebonytally import actions
 from ebonytally import deployment as deployments
+from ebonytally.echo import explain
 from ebonytally.echo import forwarder
 from ebonytally.echo import packets
 from ebonytally.echo import placing
 from ebonytally.feed import follower
 from ebonytally.load import composition
+from ebonytally.load import gauges
 from ebonytally import recorder as recorders
 from ebonytally.registry import limits
 from ebonytally.registry import registry as registries
@@ -58,6 +60,15 @@
             self.decisions.gate,
             self.decisions.delay,
         )
+        self.explainer = explain.Explainer(
+            self._registry,
+            self.follower,
+            placement,
+            self.forwarder,
+            self.decisions,
+            deployment.cfg.data_centre,
+        )
+        self.gauges = gauges.Gauges(self.decisions, self._registry)
         self._stopping = False
 
     def is_ready(self) -> bool:
