--- a/ebonytally/registry/registry.py
+++ b/ebonytally/registry/registry.py
@@ -282,7 +282,15 @@
                 entry.record,
                 sequence=max(entry.record.sequence, entry.sequence),
             )
-            if self._precedence(record) <= self._precedence(local_record):
+            # Of an announcement elsewhere only the sequence is known: it
+            # contradicts a silence, but not what an upstream has said.
+            may_be_outdated = (
+                entry.receiver == self._local_vm
+                or record.state == records.State.SILENT
+            )
+            if may_be_outdated and self._precedence(
+                record
+            ) <= self._precedence(local_record):
                 # It was heard since then. The control VM that hears it
                 # tells so.
                 if entry.receiver != self._local_vm:
