--- a/ebonytally/feed/follower.py
+++ b/ebonytally/feed/follower.py
@@ -298,6 +298,9 @@
                 primary=self._primary,
             )
         control_vm.in_touch = msg.in_touch
+        if control_vm.start != msg.start:
+            # Revisions of another process say nothing about this one's.
+            control_vm.revision = 0
         control_vm.start = msg.start
         control_vm.stops_revision = msg.revision
         if not msg.partial:
