--- a/ebonytally/feed/silences.py
+++ b/ebonytally/feed/silences.py
@@ -37,6 +37,18 @@
         """Return the start number of a control VM's process, 0 if unknown."""
 
 
+@attrs.frozen
+class _Unconfirmed:
+    """A silence that is kept back.
+
+    :param start: start number of the control VM that told it
+    """
+
+    teller: str
+    start: int
+    record: records.Record
+
+
 @attrs.define
 class _Silence:
     """A silence in force.
@@ -65,7 +77,7 @@
         self._control_vms = control_vms
         # Silences that the control VM which heard the upstream hasn't
         # confirmed, and who told them, by upstream id.
-        self._unconfirmed: dict[str, tuple[str, records.Record]] = {}
+        self._unconfirmed: dict[str, _Unconfirmed] = {}
         self._silences: dict[str, _Silence] = {}
         # Ids of silences that no control VM stood by at the last scan.
         self._doubtful: list[str] = []
@@ -75,10 +87,11 @@
     def merge(self, peer: str, record: records.Record, now: float) -> None:
         """Merge a record that a control VM told."""
         if record.state == records.State.SILENT:
-            self._merge_silence(peer, record, now)
+            start = self._control_vms.start_of(peer)
+            self._merge_silence(_Unconfirmed(peer, start, record), now)
             return
-        teller, silence = self._unconfirmed.get(record.id, ("", None))
-        if silence and (teller == peer or record.rank > silence.rank):
+        kept = self._unconfirmed.get(record.id)
+        if kept and (kept.teller == peer or record.rank > kept.record.rank):
             del self._unconfirmed[record.id]
         if self._registry.merge(record, now) is not None:
             self._silences.pop(record.id, None)
@@ -122,9 +135,12 @@
         is_heard = functools.cache(
             lambda name: self._control_vms.is_heard(name, now)
         )
-        for peer, record in list(self._unconfirmed.values()):
-            if not is_heard(record.lost):
-                self._merge_silence(peer, record, now)
+        for id_, kept in list(self._unconfirmed.items()):
+            if self._control_vms.start_of(kept.teller) != kept.start:
+                # Its teller has started again and knows nothing of it.
+                del self._unconfirmed[id_]
+            elif not is_heard(kept.record.lost):
+                self._merge_silence(kept, now)
 
     def _forget_ended(self) -> None:
         """Forget silences of upstreams that have expired or changed."""
@@ -148,19 +164,18 @@
             if not any(map(is_upheld_by, silence.tellers.items()))
         ]
 
-    def _merge_silence(
-        self, peer: str, record: records.Record, now: float
-    ) -> None:
+    def _merge_silence(self, told: _Unconfirmed, now: float) -> None:
         """Merge a silence, or keep it back if it is unconfirmed."""
-        if self._is_unconfirmed(peer, record, now):
-            self._unconfirmed[record.id] = (peer, record)
+        record = told.record
+        if self._is_unconfirmed(told.teller, record, now):
+            self._unconfirmed[record.id] = told
             return
         self._unconfirmed.pop(record.id, None)
         self._registry.merge(record, now)
         known = self._registry.get(record.id).record
         if (known.state, known.born_ms) == (record.state, record.born_ms):
             silence = self._silences.setdefault(record.id, _Silence())
-            silence.tellers[peer] = self._control_vms.start_of(peer)
+            silence.tellers[told.teller] = told.start
             silence.contradicted_by = ""
 
     def _is_unconfirmed(
