--- a/benches/bench_heartbeats.py
+++ b/benches/bench_heartbeats.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import gc
 import json
 import random
 import signal
@@ -84,6 +85,8 @@
             upstreams,
             recorders.MemoryRecorder(),
         )
+        # As at the start of a control VM.
+        gc.freeze()
         client = stack.enter_context(
             subprocess.Popen(
                 [sys.executable, "-m", __name__, str(port), str(seed)],
--- a/ebonytally/platform/http_calls.py
+++ b/ebonytally/platform/http_calls.py
@@ -8,6 +8,7 @@
 from ebonytally import orders
 from ebonytally.platform import calls
 from ebonytally.platform import decode
+from ebonytally.platform import heartbeats
 from ebonytally.platform import http_server
 from ebonytally import recorder as recorders
 from ebonytally.registry import records
@@ -58,6 +59,7 @@
         """
         self._orders = order_handler
         self._upstreams = upstreams
+        self._heartbeats = heartbeats.HeartbeatDecoder()
         self._port = deployed.orders_endpoint.port
         address = (
             f"{deployed.orders_endpoint.address}:"
@@ -74,16 +76,14 @@
             deployed.max_connections,
         )
 
-    def _handle(self, environ: dict) -> http_server.Reply:
-        body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    def _handle(self, call: http_server.Call) -> http_server.Reply:
+        body = call.read(MAX_BODY_BYTES + 1)
         if len(body) > MAX_BODY_BYTES:
             return "413 Content Too Large", [], b""
-        path = environ["PATH_INFO"]
         try:
-            return self._dispatch(environ["REQUEST_METHOD"], path, body)
+            return self._dispatch(call.method, call.path, body)
         except decode.DecodeError as exc:
-            source = environ["REMOTE_ADDR"]
-            self._orders.count_malformed(exc.step, str(exc), source)
+            self._orders.count_malformed(exc.step, str(exc), call.source)
             return "400 Bad Request", [_JSON], _error(str(exc))
 
     def _dispatch(
@@ -92,7 +92,8 @@
         """Carry out the call that method and path name."""
         if method == "POST" and path.startswith(_HEARTBEAT):
             id_ = path.removeprefix(_HEARTBEAT)
-            self._upstreams.on_announcement(calls.decode_heartbeat(id_, body))
+            announcement = self._heartbeats.decode(id_, body)
+            self._upstreams.on_announcement(announcement)
             return "200 OK", [_JSON], self._heartbeat_reply
         if method == "POST" and path.startswith(_DEREGISTER):
             id_ = path.removeprefix(_DEREGISTER)
--- a/ebonytally/platform/readiness.py
+++ b/ebonytally/platform/readiness.py
@@ -24,8 +24,8 @@
     :param is_ready: returns whether routers may send packets to this VM
     """
 
-    def handle(environ: dict) -> http_server.Reply:
-        if environ["PATH_INFO"] != _PATH:
+    def handle(call: http_server.Call) -> http_server.Reply:
+        if call.path != _PATH:
             return "404 Not Found", [], b""
         status = "200 OK" if is_ready() else "503 Service Unavailable"
         return status, [], b""
--- a/tests/test_http_bounds.py
+++ b/tests/test_http_bounds.py
@@ -31,7 +31,7 @@
         http_server.serve(
             endpoint,
             stack,
-            lambda environ: ("200 OK", [], b"x"),
+            lambda call: ("200 OK", [], b"x"),
             recorders.MemoryRecorder(),
             8,
         )
@@ -54,7 +54,7 @@
         http_server.serve(
             endpoint,
             stack,
-            lambda environ: ("200 OK", [], b"x"),
+            lambda call: ("200 OK", [], b"x"),
             recorders.MemoryRecorder(),
             4,
         )
@@ -74,7 +74,7 @@
         http_server.serve(
             endpoint,
             stack,
-            lambda environ: ("200 OK", [], environ["wsgi.input"].read()),
+            lambda call: ("200 OK", [], call.read(100 * 1024 * 1024)),
             recorders.MemoryRecorder(),
             max_connections,
         )
