--- a/ebonytally/load/demand.py
+++ b/ebonytally/load/demand.py
@@ -6,6 +6,7 @@
 
 import math
 
+from ebonytally.load import interfaces
 from ebonytally.registry import registry as registries
 
 # Time in which the weight of a request falls to 37%. At 11 requests a
@@ -22,7 +23,7 @@
 MIN_RATE_PER_S = 0.05
 
 
-class DemandMeter:
+class DemandMeter(interfaces.FlowObserver):
     """Counts callers' requests by service; an `interfaces.FlowObserver`.
 
     The weight of a request falls with its age.
@@ -85,24 +86,6 @@
         count, at = self._counts.get(service, (0.0, now))
         self._counts[service] = (_age(count, now - at) + 1.0, now)
 
-    def on_opened(self, upstream: str, took_s: float, now: float) -> None:
-        """Handle the opening of a flow: no request yet."""
-
-    def on_silence(self, upstream: str, now: float) -> None:
-        """Handle an unanswered opening packet: no request yet."""
-
-    def on_answer(self, upstream: str, took_s: float, now: float) -> None:
-        """Handle an answer, whose request has been counted."""
-
-    def on_request_end(
-        self,
-        upstream: str,
-        service_address: bytes,
-        answer_bytes: int,
-        now: float,
-    ) -> None:
-        """Handle the end of a request that has been counted."""
-
 
 def _age(count: float, passed_s: float) -> float:
     return count * math.exp(-max(0.0, passed_s) / SMOOTHING_S)
--- a/ebonytally/load/interfaces.py
+++ b/ebonytally/load/interfaces.py
@@ -92,7 +92,10 @@
 
 
 class FlowObserver(Protocol):
-    """Receives what callers' packets show about upstreams."""
+    """Receives what callers' packets show about upstreams.
+
+    A class that inherits from it ignores what it doesn't override.
+    """
 
     def on_opened(self, upstream: str, took_s: float, now: float) -> None:
         """Handle the opening of a flow.
--- a/ebonytally/load/link_delay.py
+++ b/ebonytally/load/link_delay.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ebonytally.load import interfaces
+
 # Callers retransmit an opening after 200 ms; a queue of this delay is
 # noticed within the time of a few openings.
 WINDOW_S = 0.2
@@ -33,7 +35,7 @@
     took_s: float
 
 
-class LinkDelay:
+class LinkDelay(interfaces.FlowObserver):
     """An `interfaces.FlowObserver` that measures the link's queue."""
 
     def __init__(self) -> None:
@@ -79,21 +81,3 @@
             last.took_s = min(last.took_s, took_s)
         while now - self._slots[0].at > BASE_WINDOW_S:
             self._slots.popleft()
-
-    def on_silence(self, upstream: str, now: float) -> None:
-        """Ignore a silence: its cause may be the upstream."""
-
-    def on_request(self, upstream: str, now: float) -> None:
-        """Ignore a request."""
-
-    def on_answer(self, upstream: str, took_s: float, now: float) -> None:
-        """Ignore an answer: its time contains the upstream's work."""
-
-    def on_request_end(
-        self,
-        upstream: str,
-        service_address: bytes,
-        answer_bytes: int,
-        now: float,
-    ) -> None:
-        """Ignore the end of a request."""
--- a/ebonytally/load/priority_mix.py
+++ b/ebonytally/load/priority_mix.py
@@ -10,6 +10,7 @@
 
 from ebonytally.echo import forwarder
 from ebonytally.feed import follower as followers
+from ebonytally.load import interfaces
 from ebonytally.registry import registry as registries
 
 # Time constant with which seen requests lose their weight. An entry VM sees
@@ -40,7 +41,7 @@
             self.counts[priority] *= factor
 
 
-class PriorityMix:
+class PriorityMix(interfaces.FlowObserver):
     """Learns the mix of priorities as an `interfaces.FlowObserver`."""
 
     def __init__(
@@ -79,18 +80,6 @@
         self._update()
         return self._bounds.get(service, {})
 
-    def on_opened(self, upstream: str, took_s: float, now: float) -> None:
-        """Ignore an opening; requests are counted."""
-
-    def on_silence(self, upstream: str, now: float) -> None:
-        """Ignore a silence."""
-
-    def on_request(self, upstream: str, now: float) -> None:
-        """Ignore the start of a request; its route is known at its end."""
-
-    def on_answer(self, upstream: str, took_s: float, now: float) -> None:
-        """Ignore an answer."""
-
     def on_request_end(
         self,
         upstream: str,
--- a/ebonytally/load/way_cost.py
+++ b/ebonytally/load/way_cost.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from ebonytally.load import interfaces
 from ebonytally.registry import registry as registries
 
 # Openings remembered by data centre; their median ignores single losses,
@@ -54,7 +55,7 @@
         return statistics.median(recent) if recent else None
 
 
-class WayCost:
+class WayCost(interfaces.FlowObserver):
     """Learns the ways to data centres as an `interfaces.FlowObserver`."""
 
     def __init__(self, registry: registries.Registry, home: str) -> None:
@@ -119,21 +120,6 @@
             way.silent.clear()
             way.silences = 0
 
-    def on_request(self, upstream: str, now: float) -> None:
-        """Ignore a request; the way is learned from openings."""
-
-    def on_answer(self, upstream: str, took_s: float, now: float) -> None:
-        """Ignore an answer: its time contains that of the work."""
-
-    def on_request_end(
-        self,
-        upstream: str,
-        service_address: bytes,
-        answer_bytes: int,
-        now: float,
-    ) -> None:
-        """Ignore the end of a request."""
-
     def _opening_s(self, data_centre: str, now: float) -> float | None:
         way = self._ways.get(data_centre)
         return way.opening_s(now) if way is not None else None
